--- /dev/null
+++ b/libs/cli/src/mimosahoist/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/libs/cli/src/mimosahoist/cli/fleet.py
@@ -0,0 +1,77 @@
+"""What entry instances report of themselves."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest
+
+if TYPE_CHECKING:
+    from mimosahoist.platform.store import PlatformStore
+
+REPORT_TIMEOUT = 1.0
+POLL_SECONDS = 0.1
+
+
+class InstanceReport(NamedTuple):
+    """An entry instance of the platform's list; `status` is None if it did not answer."""
+
+    name: str
+    failure_domain: str
+    listed_state: str
+    status: dict[str, Any] | None
+
+    def in_force(self, revision: int) -> bool:
+        """Whether the instance itself says that it has a revision in force."""
+        return self.status is not None and self.status["revision"] >= revision
+
+
+class Fleet:
+    """Asks entry instances for their status."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self.store = store
+        self.client: CurlAsyncHTTPClient | None = None
+
+    async def start(self) -> None:
+        """Open the HTTP client."""
+        self.client = CurlAsyncHTTPClient(max_clients=64, force_instance=True)
+
+    async def close(self) -> None:
+        """Close it."""
+        self.client.close()
+
+    async def report(self) -> list[InstanceReport]:
+        """Status of every entry instance in the platform's list."""
+        listed = await self.store.changes("instances", 0, 0.0)
+        entries = [
+            item
+            for item in listed.objects
+            if item.value is not None and item.value["role"] == "entry"
+        ]
+        return list(await asyncio.gather(*(self.ask(item.key, item.value) for item in entries)))
+
+    async def ask(self, name: str, record: dict[str, Any]) -> InstanceReport:
+        """Ask one instance."""
+        url = f"http://{record['admin_address']}/status"
+        request = HTTPRequest(url, request_timeout=REPORT_TIMEOUT, connect_timeout=REPORT_TIMEOUT)
+        status = None
+        try:
+            response = await self.client.fetch(request)
+            status = msgspec.json.decode(response.body)
+        except (HTTPClientError, OSError, msgspec.DecodeError):
+            status = None
+        return InstanceReport(name, record["failure_domain"], record["state"], status)
+
+    async def wait(self, revision: int, seconds: float) -> list[InstanceReport]:
+        """Ask until all live instances have a revision in force or time is up."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while True:
+            reports = await self.report()
+            if all(item.in_force(revision) for item in reports) or loop.time() >= until:
+                return reports
+            await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/libs/core/src/mimosahoist/core/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, errors, logs, metrics and traces shared by all libraries."""
--- /dev/null
+++ b/libs/declare/src/mimosahoist/declare/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations of operators: parsing, validation, plans and their application."""
--- /dev/null
+++ b/libs/entry/src/mimosahoist/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: HTTP server, wiring and the daemon."""
--- /dev/null
+++ b/libs/entry/src/mimosahoist/entry/bodies.py
@@ -0,0 +1,88 @@
+"""Bodies of callers' requests."""
+
+from __future__ import annotations
+
+from typing import Any, NotRequired, TypedDict
+
+import msgspec
+import xxhash
+
+from mimosahoist.core import settings
+from mimosahoist.core.problem import Problem, ProblemKind
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_DEADLINE_MS = 60_000
+MAX_LIMIT = 1000
+MAX_OFFSET = 10_000
+MAX_ROUTE_LENGTH = 64
+MAX_KEY_LENGTH = 200
+DEFAULT_LIMIT = 10
+DEFAULT_ROUTE = "default"
+
+
+class SearchBody(TypedDict):
+    """Body of a search."""
+
+    query: dict[str, Any]
+    deadline_ms: int
+    limit: NotRequired[int]
+    offset: NotRequired[int]
+    route: NotRequired[str]
+
+
+class RunBody(TypedDict):
+    """Body of a run request."""
+
+    operation: dict[str, Any]
+    deadline_ms: int
+    route: NotRequired[str]
+
+
+def decode(body: bytes, kind: type) -> Any:
+    """Decode and check a body.
+
+    Raises
+    ------
+    Problem
+        That says which key is wrong and what to do.
+    """
+    try:
+        raw = msgspec.json.decode(body)
+        if not isinstance(raw, dict):
+            raise bad("the body is no JSON object", "send an object as docs/INTERFACES.md shows")
+        settings.reject_unknown_keys(raw, kind, "body", "")
+        value = msgspec.convert(raw, kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise bad(f"the body is not valid: {error}", "correct the body's JSON") from error
+    except Problem as problem:
+        raise bad(problem.message, problem.remedy) from problem
+    check_range("deadline_ms", value["deadline_ms"], 1, MAX_DEADLINE_MS)
+    check_range("limit", value.get("limit", DEFAULT_LIMIT), 1, MAX_LIMIT)
+    check_range("offset", value.get("offset", 0), 0, MAX_OFFSET)
+    if len(value.get("route", "")) > MAX_ROUTE_LENGTH or "/" in value.get("route", ""):
+        raise bad("'route' is too long or contains '/'", f"use up to {MAX_ROUTE_LENGTH} others")
+    return value
+
+
+def check_range(key: str, value: int, low: int, high: int) -> None:
+    """Raise a Problem unless a number lies within bounds."""
+    if not low <= value <= high:
+        raise bad(f"'{key}' is {value}, outside {low} to {high}", f"send a {key} within bounds")
+
+
+def check_key(key: str | None) -> str | None:
+    """Check an idempotency key."""
+    if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+        raise bad("the Idempotency-Key is empty or too long", f"use 1 to {MAX_KEY_LENGTH} bytes")
+    return key
+
+
+def fingerprint(organisation: str, service: str, content: Any) -> str:
+    """Hash that equal requests share, whoever sends them again."""
+    encoded = msgspec.json.encode([organisation, service, content], order="sorted")
+    return xxhash.xxh3_128_hexdigest(encoded)
+
+
+def bad(message: str, remedy: str) -> Problem:
+    """Problem in a caller's request."""
+    return Problem(ProblemKind.BAD_REQUEST, message, remedy)
--- /dev/null
+++ b/libs/entry/src/mimosahoist/entry/handlers.py
@@ -0,0 +1,240 @@
+"""HTTP handlers for callers."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import tornado.web
+
+from mimosahoist.core import tracing
+from mimosahoist.core.problem import Problem, ProblemKind, RunState
+from mimosahoist.core.tasks import now
+from mimosahoist.entry import bodies
+from mimosahoist.query.request import RunRequest, RunResult, SearchRequest, SearchResult
+from mimosahoist.query.run import Run
+from mimosahoist.query.search import Search
+
+if TYPE_CHECKING:
+    from mimosahoist.entry.application import EntryApplication
+    from mimosahoist.entry.directory import Caller
+    from mimosahoist.query.service import Service
+
+TRACE_HEADER = "X-Trace"
+KEY_HEADER = "Idempotency-Key"
+BEARER = "Bearer "
+
+
+@tornado.web.stream_request_body
+class CallerHandler(tornado.web.RequestHandler):
+    """Common to all requests of callers: limits, identity, errors."""
+
+    SUPPORTED_METHODS = ("POST",)
+
+    def initialize(self, app: EntryApplication) -> None:
+        """Take the application."""
+        self.app = app
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self.counted = False
+
+    def prepare(self) -> None:
+        """Refuse bodies that are too large before they are read."""
+        self.app.requests_open += 1
+        self.counted = True
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdigit() and int(length) > bodies.MAX_BODY_BYTES:
+            self.set_header("Connection", "close")
+            raise too_large()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body."""
+        self.size += len(chunk)
+        if self.size > bodies.MAX_BODY_BYTES:
+            raise too_large()
+        self.chunks.append(chunk)
+
+    def on_finish(self) -> None:
+        """Count the request as done."""
+        if self.counted:
+            self.app.requests_open -= 1
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer an error as typed JSON."""
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if not isinstance(error, Problem):
+            error = self.other_error(status_code)
+        self.app.metrics.count(f"answers_{error.kind}".replace("-", "_"))
+        self.set_status(error.status)
+        self.answer(error.to_wire())
+
+    def other_error(self, status_code: int) -> Problem:
+        """Problem for an error that is none of ours."""
+        if status_code < 500:
+            return bodies.bad(f"HTTP status {status_code}", "send POST to a path of the interface")
+        self.app.metrics.count("internal_errors")
+        return Problem(
+            ProblemKind.UNKNOWN,
+            "an internal error",
+            "report it to the operators with the time of the request",
+            RunState.UNKNOWN,
+        )
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log only errors that are none of the caller's."""
+        if not isinstance(value, Problem | tornado.web.HTTPError):
+            super().log_exception(typ, value, tb)
+
+    def answer(self, value: Any) -> None:
+        """Finish with a JSON body."""
+        self.set_header("Content-Type", "application/json")
+        if self.app.draining:
+            self.set_header("Connection", "close")
+        self.finish(msgspec.json.encode(value))
+
+    def authenticate(self, organisation: str) -> Caller:
+        """Caller that the bearer token belongs to."""
+        header = self.request.headers.get("Authorization", "")
+        token = header.removeprefix(BEARER)
+        digest = hashlib.sha256(token.encode(errors="replace")).hexdigest()
+        caller = self.app.directory.callers.get(digest) if header.startswith(BEARER) else None
+        if caller is None:
+            raise Problem(
+                ProblemKind.UNAUTHENTICATED,
+                "the bearer token is missing or unknown",
+                "send 'Authorization: Bearer TOKEN' with the token of a declared caller",
+            )
+        if caller.organisation != organisation:
+            raise Problem(
+                ProblemKind.FORBIDDEN,
+                f"the caller does not belong to organisation '{organisation}'",
+                "use a path of the caller's own organisation",
+            )
+        return caller
+
+    def find_service(self, organisation: str, name: str, kind: str) -> Service:
+        """Service of a path."""
+        service = self.app.directory.services.get((organisation, name))
+        if service is None or service.spec["kind"] != kind:
+            raise Problem(
+                ProblemKind.NOT_FOUND,
+                f"organisation '{organisation}' has no {kind} service '{name}'",
+                "use a declared service, and its own kind of request",
+            )
+        return service
+
+    def body(self) -> bytes:
+        """The whole body."""
+        return b"".join(self.chunks)
+
+
+class SearchHandler(CallerHandler):
+    """Searches over all shards of a service."""
+
+    async def post(self, organisation: str, name: str) -> None:
+        """Search and answer with hits and coverage."""
+        arrived = now()
+        caller = self.authenticate(organisation)
+        service = self.find_service(organisation, name, "search")
+        body = bodies.decode(self.body(), bodies.SearchBody)
+        request_id = self.app.next_request_id()
+        route = body.get("route", bodies.DEFAULT_ROUTE)
+        span = self.app.traces.begin(
+            "search", TRACE_HEADER in self.request.headers, request=request_id, service=name
+        )
+        request = SearchRequest(
+            request_id,
+            body["query"],
+            route,
+            body.get("limit", bodies.DEFAULT_LIMIT),
+            body.get("offset", 0),
+            arrived + body["deadline_ms"] / 1000,
+            caller.priority,
+            bodies.fingerprint(organisation, name, [body["query"], route]),
+            span,
+        )
+        try:
+            result = await Search(service, request).run()
+        finally:
+            tracing.finish(span)
+        self.app.count_search(name, result, now() - arrived)
+        self.answer(search_answer(result))
+
+
+class RunHandler(CallerHandler):
+    """Requests that one upstream runs."""
+
+    async def post(self, organisation: str, name: str) -> None:
+        """Run and answer with the result."""
+        arrived = now()
+        caller = self.authenticate(organisation)
+        service = self.find_service(organisation, name, "run")
+        body = bodies.decode(self.body(), bodies.RunBody)
+        key = bodies.check_key(self.request.headers.get(KEY_HEADER))
+        request_id = self.app.next_request_id()
+        route = body.get("route", bodies.DEFAULT_ROUTE)
+        span = self.app.traces.begin(
+            "run", TRACE_HEADER in self.request.headers, request=request_id, service=name
+        )
+        request = RunRequest(
+            request_id,
+            body["operation"],
+            route,
+            arrived + body["deadline_ms"] / 1000,
+            caller.priority,
+            bodies.fingerprint(organisation, name, [body["operation"], route]),
+            key,
+            span,
+        )
+        try:
+            result = await Run(service, request, self.app.idempotency, caller.name).run()
+        finally:
+            tracing.finish(span)
+        self.app.metrics.latency(f"run_{name}".replace("-", "_")).record(now() - arrived)
+        self.answer(run_answer(result))
+
+
+class NotFoundHandler(CallerHandler):
+    """Any other path."""
+
+    def prepare(self) -> None:
+        """Refuse."""
+        super().prepare()
+        raise Problem(
+            ProblemKind.NOT_FOUND,
+            "there is no such path",
+            "use POST /v1/ORGANISATION/SERVICE/search or /run",
+        )
+
+
+def search_answer(result: SearchResult) -> dict[str, Any]:
+    """Wire form of a search's result."""
+    return {
+        "request_id": result.request_id,
+        "snapshot": result.snapshot,
+        "coverage": {
+            "shards": result.shards,
+            "answered": result.answered,
+            "missing": [item._asdict() for item in result.missing],
+        },
+        "hits": [hit._asdict() for hit in result.hits],
+    }
+
+
+def run_answer(result: RunResult) -> dict[str, Any]:
+    """Wire form of a run's result."""
+    return {
+        "request_id": result.request_id,
+        "result": result.result,
+        "replayed": result.replayed,
+    }
+
+
+def too_large() -> Problem:
+    """Problem for a body that is too large."""
+    return Problem(
+        ProblemKind.TOO_LARGE,
+        f"the body is larger than {bodies.MAX_BODY_BYTES} bytes",
+        "send a smaller request",
+    )
--- /dev/null
+++ b/libs/entry/src/mimosahoist/entry/main.py
@@ -0,0 +1,54 @@
+"""The daemon ``mimosahoist-entry``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+
+from mimosahoist.core import json_log
+from mimosahoist.core.metrics import Metrics
+from mimosahoist.core.problem import Problem
+from mimosahoist.core.settings import load
+from mimosahoist.entry.application import EntryApplication, make_adapters
+from mimosahoist.entry.settings import EntrySettings
+
+EXIT_USAGE = 2
+
+
+def main() -> None:
+    """Run an entry instance until SIGTERM."""
+    parser = argparse.ArgumentParser(
+        prog="mimosahoist-entry", description="Run an entry instance of mimosahoist."
+    )
+    parser.add_argument("--settings", required=True, help="path of the TOML settings")
+    arguments = parser.parse_args()
+    try:
+        settings = load(arguments.settings, EntrySettings)
+    except Problem as problem:
+        print(f"mimosahoist-entry: {problem}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    json_log.configure(settings["instance"]["name"])
+    asyncio.run(serve(settings))
+
+
+async def serve(settings: EntrySettings) -> None:
+    """Serve until SIGTERM or SIGINT, then drain."""
+    metrics = Metrics()
+    app = EntryApplication(settings, metrics, make_adapters(settings, metrics), random.Random())
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await app.start()
+    app.listen()
+    json_log.change("listening", address=settings["listen"]["http"])
+    await stopped.wait()
+    await app.drain()
+    await app.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/entry/src/mimosahoist/entry/share_keeper.py
@@ -0,0 +1,190 @@
+"""Claim and keep of a numbered share of the upstreams' limits."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from mimosahoist.core import json_log
+from mimosahoist.core.problem import Problem
+from mimosahoist.core.tasks import TaskSet, now, unix_time
+from mimosahoist.peers.members import MemberState
+from mimosahoist.platform.kinds import SHARE_TABLE_KEY, ShareHolder, ShareTable
+
+if TYPE_CHECKING:
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.peers.exchange import PeerExchange
+    from mimosahoist.peers.feed import StoreFeed
+    from mimosahoist.platform.store import PlatformStore, StoredObject
+    from mimosahoist.platform.versioned import VersionedCopy
+    from mimosahoist.upstream.quota import ShareView
+
+CHECK_SECONDS = 0.25
+CLAIM_RETRY_SECONDS = 0.5
+ACTIVATION_SECONDS = 1.0
+TAKEOVER_SECONDS = 6.0
+CONTACT_SECONDS = 4.0
+
+
+class ShareKeeper:
+    """Holds one share of the table for this instance.
+
+    A share changes hands only through the store, by conditional update. It is taken from an
+    instance that left, or that members have called dead for longer than an instance without any
+    contact goes on using its share; so two never use one share at a time.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        exchange: PeerExchange,
+        feed: StoreFeed,
+        objects: VersionedCopy,
+        view: ShareView,
+        metrics: Metrics,
+    ) -> None:
+        self.store = store
+        self.exchange = exchange
+        self.feed = feed
+        self.objects = objects
+        self.view = view
+        self.metrics = metrics
+        self.tasks = TaskSet()
+        self.claimed_at: float | None = None
+        self.releasing = False
+        self.next_claim = 0.0
+        self.started_at = 0.0
+
+    async def start(self) -> None:
+        """Begin to claim and watch."""
+        self.started_at = now()
+        self.tasks.spawn(self.run(), "share keeper")
+
+    async def close(self) -> None:
+        """Stop watching; the share stays claimed unless `release` was called."""
+        await self.tasks.close()
+
+    async def run(self) -> None:
+        """Follow the table, and claim a share if there is none."""
+        while True:
+            self.follow()
+            if self.own_index() is None and not self.releasing and now() >= self.next_claim:
+                self.next_claim = now() + CLAIM_RETRY_SECONDS
+                await self.claim()
+                self.follow()
+            await asyncio.sleep(CHECK_SECONDS)
+
+    def own_index(self) -> int | None:
+        """Index of the share that the table gives to this very process."""
+        own = self.own_holder()
+        for index, holder in enumerate(self.holders()):
+            if holder == own:
+                return index
+        return None
+
+    def own_holder(self) -> dict[str, Any]:
+        """This process's entry in the table."""
+        identity = self.exchange.identity
+        return dict(ShareHolder(instance=identity.instance, incarnation=identity.incarnation))
+
+    def holders(self) -> list[Any]:
+        """Holders as the copy of the table has them."""
+        value = self.objects.value(SHARE_TABLE_KEY)
+        return value["holders"] if value else [None] * self.view.size
+
+    def follow(self) -> None:
+        """Bring the view into line with the table and with contact to others."""
+        holders = self.holders()
+        index = self.own_index()
+        if index is None:
+            self.claimed_at = None
+        elif self.claimed_at is None:
+            self.claimed_at = now()
+            json_log.change("share held", share=index)
+        active = index is not None and not self.isolated() and self.activated()
+        held = frozenset(number for number, holder in enumerate(holders) if holder is not None)
+        if active != (self.view.index is not None):
+            json_log.change("share active" if active else "share suspended", share=index)
+        self.view.assign(index if active else None, held)
+        self.view.valid_until = self.contact_until()
+
+    def activated(self) -> bool:
+        """Whether the table has reached the others by now."""
+        return self.claimed_at is not None and now() - self.claimed_at >= ACTIVATION_SECONDS
+
+    def contact_until(self) -> float:
+        """Loop time until which the last contact allows the use of the share.
+
+        An instance that knows no other member has nobody to lose its share to but through the
+        store.
+        """
+        contact = max(self.exchange.last_contact, self.feed.last_contact)
+        if not self.exchange.reachable_peers() and not self.exchange.seeds:
+            return float("inf")
+        return contact + CONTACT_SECONDS
+
+    def isolated(self) -> bool:
+        """Whether neither peers nor store were heard of lately."""
+        return now() > self.contact_until()
+
+    async def claim(self) -> None:
+        """Write this instance into a free share."""
+        try:
+            self.metrics.count("store_calls")
+            stored = await self.store.get(SHARE_TABLE_KEY)
+            holders = self.stored_holders(stored)
+            index = self.free_index(holders)
+            if index is None:
+                self.metrics.count("share_table_full")
+                return
+            holders[index] = self.own_holder()
+            await self.write(stored, holders)
+        except Problem as problem:
+            self.metrics.count(f"share_claim_{problem.kind}")
+
+    def stored_holders(self, stored: StoredObject | None) -> list[Any]:
+        """Holders as stored, brought to the table's size."""
+        if stored is None or stored.value is None:
+            return [None] * self.view.size
+        return list(stored.value["holders"])
+
+    def free_index(self, holders: list[Any]) -> int | None:
+        """First share that nobody holds, or whose holder is gone for long enough."""
+        own = self.own_holder()
+        for index, holder in enumerate(holders):
+            if holder is not None and holder["instance"] == own["instance"]:
+                return index
+        for index, holder in enumerate(holders):
+            if holder is None or self.is_gone(holder):
+                return index
+        return None
+
+    def is_gone(self, holder: dict[str, Any]) -> bool:
+        """Whether a holder has left, or is dead past the time for which it uses its share."""
+        member = self.exchange.members().get(holder["instance"])
+        if member is None:
+            listed = self.feed.copies["instances"].value(holder["instance"]) is not None
+            return not listed and now() - self.started_at > TAKEOVER_SECONDS
+        if member.state == MemberState.LEFT:
+            return True
+        dead = member.state == MemberState.DEAD
+        return dead and unix_time() - member.since > TAKEOVER_SECONDS
+
+    async def write(self, stored: StoredObject | None, holders: list[Any]) -> None:
+        """Write the table on the version that was read, and take it into the copy."""
+        self.metrics.count("store_calls")
+        table = ShareTable(holders=holders)
+        await self.store.put(SHARE_TABLE_KEY, dict(table), stored.version if stored else 0)
+
+    async def release(self) -> None:
+        """Give the share back, once nothing of this instance is in flight."""
+        self.releasing = True
+        own = self.own_holder()
+        try:
+            stored = await self.store.get(SHARE_TABLE_KEY)
+            holders = self.stored_holders(stored)
+            if own in holders:
+                holders[holders.index(own)] = None
+                await self.write(stored, holders)
+        except Problem as problem:
+            self.metrics.count(f"share_release_{problem.kind}")
--- /dev/null
+++ b/libs/lab/src/mimosahoist/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for upstreams and platform, load, experiments and measurements."""
--- /dev/null
+++ b/libs/lab/src/mimosahoist/lab/launcher.py
@@ -0,0 +1,213 @@
+"""Starts stand-ins and entry instances as processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest
+
+from mimosahoist.lab import deployment as sizes
+from mimosahoist.peers.keys import create_cluster_keys
+
+READY_SECONDS = 60.0
+POLL_SECONDS = 0.1
+STOP_SECONDS = 15.0
+
+
+class Launcher:
+    """Processes of one deployment on loopback.
+
+    Only processes that were started here are ever ended, by their own ids.
+    """
+
+    def __init__(self, deployment: sizes.Deployment, base_port: int, seed: int) -> None:
+        self.deployment = deployment
+        self.base_port = base_port
+        self.seed = seed
+        self.folder = tempfile.TemporaryDirectory(prefix="mimosahoist-")
+        self.keys = create_cluster_keys()
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.specs = sizes.searcher_specs(deployment)
+        self.client = CurlAsyncHTTPClient(max_clients=200, force_instance=True)
+
+    @property
+    def platform_url(self) -> str:
+        """URL of the stand-in platform."""
+        return f"http://127.0.0.1:{self.base_port}"
+
+    def entry_address(self, number: int, offset: int = sizes.ENTRY_HTTP_OFFSET) -> str:
+        """Address of an entry instance's server."""
+        return f"127.0.0.1:{self.base_port + offset + number}"
+
+    def searcher_address(self, index: int) -> str:
+        """Address of a searcher."""
+        return f"127.0.0.1:{self.base_port + sizes.SEARCHER_OFFSET + index}"
+
+    async def start_stand_ins(self) -> None:
+        """Start the platform and, for each failure domain, a process of searchers."""
+        lab = [sys.executable, "-m", "mimosahoist.lab.main"]
+        await self.spawn("platform", [*lab, "platform", "--port", str(self.base_port)])
+        for domain in sizes.FAILURE_DOMAINS:
+            await self.spawn(
+                f"searchers-{domain}",
+                [
+                    *lab,
+                    "searchers",
+                    "--deployment",
+                    self.deployment.organisation,
+                    "--failure-domain",
+                    domain,
+                    "--base-port",
+                    str(self.base_port),
+                    "--seed",
+                    str(self.seed),
+                ],
+            )
+        await self.wait_for(f"{self.platform_url}/lab/calls")
+        await asyncio.gather(
+            *(
+                self.wait_for(f"http://{self.searcher_address(index)}/lab/record")
+                for index in range(len(self.specs))
+            )
+        )
+        await self.list_searchers()
+
+    async def list_searchers(self) -> None:
+        """Put all searchers into the platform's list."""
+        for index, spec in enumerate(self.specs):
+            record = sizes.searcher_record(spec, self.searcher_address(index))
+            await self.list_instance(spec.name, record)
+
+    async def list_instance(self, name: str, record: dict[str, Any] | None) -> None:
+        """Change the platform's list."""
+        body = {"name": name, "record": record}
+        await self.post(f"{self.platform_url}/lab/instance", body)
+
+    async def start_entries(self, count: int = sizes.ENTRIES) -> None:
+        """Start entry instances and wait until all are ready."""
+        for number in range(count):
+            await self.start_entry(number)
+        await asyncio.gather(*(self.wait_ready(number) for number in range(count)))
+
+    async def start_entry(self, number: int) -> None:
+        """Start one entry instance and list it."""
+        name = f"entry-{number}"
+        path = Path(self.folder.name) / f"{name}.toml"
+        path.write_text(self.entry_settings(number), encoding="utf-8")
+        await self.list_instance(
+            name,
+            {
+                "role": "entry",
+                "failure_domain": sizes.FAILURE_DOMAINS[number % len(sizes.FAILURE_DOMAINS)],
+                "address": self.entry_address(number),
+                "admin_address": self.entry_address(number, sizes.ENTRY_ADMIN_OFFSET),
+                "peer_address": self.entry_address(number, sizes.ENTRY_PEER_OFFSET),
+                "state": "live",
+            },
+        )
+        command = [sys.executable, "-m", "mimosahoist.entry.main", "--settings", str(path)]
+        await self.spawn(name, command)
+
+    def entry_settings(self, number: int) -> str:
+        """Settings of an entry instance."""
+        domain = sizes.FAILURE_DOMAINS[number % len(sizes.FAILURE_DOMAINS)]
+        return f"""
+[instance]
+name = "entry-{number}"
+cluster = "{self.deployment.organisation}"
+failure_domain = "{domain}"
+
+[listen]
+http = "{self.entry_address(number)}"
+admin = "{self.entry_address(number, sizes.ENTRY_ADMIN_OFFSET)}"
+
+[peers]
+address = "{self.entry_address(number, sizes.ENTRY_PEER_OFFSET)}"
+public_key = "{self.keys.public}"
+secret_key = "{self.keys.secret}"
+shares = {sizes.ENTRIES}
+
+[platform]
+url = "{self.platform_url}"
+"""
+
+    async def spawn(self, name: str, command: list[str]) -> None:
+        """Start a process; its log goes to a file in the temporary folder."""
+        log = Path(self.folder.name) / f"{name}.log"
+        with log.open("ab") as output:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                *command, stdin=asyncio.subprocess.DEVNULL, stdout=output, stderr=output
+            )
+
+    async def wait_ready(self, number: int) -> None:
+        """Wait until an entry instance is ready."""
+        await self.wait_for(f"http://{self.entry_address(number)}/health")
+
+    async def wait_for(self, url: str) -> None:
+        """Wait until a URL answers with success."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + READY_SECONDS
+        while loop.time() < until:
+            try:
+                await self.client.fetch(HTTPRequest(url, request_timeout=2.0))
+            except (HTTPClientError, OSError):
+                await asyncio.sleep(POLL_SECONDS)
+            else:
+                return
+        raise TimeoutError(f"{url} did not become ready; see the logs in {self.folder.name}")
+
+    async def get(self, url: str) -> Any:
+        """Read JSON."""
+        response = await self.client.fetch(HTTPRequest(url, request_timeout=10.0))
+        return msgspec.json.decode(response.body)
+
+    async def post(self, url: str, body: Any) -> Any:
+        """Send JSON."""
+        request = HTTPRequest(
+            url, method="POST", body=msgspec.json.encode(body), request_timeout=10.0
+        )
+        response = await self.client.fetch(request)
+        return msgspec.json.decode(response.body)
+
+    async def fault(self, index: int, **faults: Any) -> None:
+        """Switch faults of one searcher."""
+        await self.post(f"http://{self.searcher_address(index)}/lab/faults", faults)
+
+    async def records(self) -> list[dict[str, Any]]:
+        """Records of all searchers."""
+        return list(
+            await asyncio.gather(
+                *(
+                    self.get(f"http://{self.searcher_address(index)}/lab/record")
+                    for index in range(len(self.specs))
+                )
+            )
+        )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that was started here."""
+        self.processes[name].send_signal(number)
+
+    async def stop(self, name: str) -> None:
+        """End a process and wait for it."""
+        process = self.processes.pop(name)
+        if process.returncode is None:
+            process.terminate()
+            try:
+                await asyncio.wait_for(process.wait(), STOP_SECONDS)
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+
+    async def close(self) -> None:
+        """End all processes and remove the temporary folder."""
+        await asyncio.gather(*(self.stop(name) for name in list(self.processes)))
+        self.client.close()
+        self.folder.cleanup()
--- /dev/null
+++ b/libs/lab/src/mimosahoist/lab/platform_server.py
@@ -0,0 +1,106 @@
+"""HTTP front of the stand-in platform."""
+
+from __future__ import annotations
+
+import urllib.parse
+from typing import Any
+
+import msgspec
+import tornado.httpserver
+import tornado.web
+
+from mimosahoist.core.problem import Problem
+from mimosahoist.lab.platform_model import MAX_VALUE_BYTES, PlatformFaults, PlatformModel
+
+
+class PlatformHandler(tornado.web.RequestHandler):
+    """Common to all requests."""
+
+    def initialize(self, model: PlatformModel) -> None:
+        """Take the model."""
+        self.model = model
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer a Problem as JSON."""
+        error = kwargs.get("exc_info", (None, None))[1]
+        if isinstance(error, Problem):
+            self.set_status(error.status)
+            self.finish(msgspec.json.encode(error.to_wire()))
+        else:
+            super().write_error(status_code, **kwargs)
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log only errors that are no Problem."""
+        if not isinstance(value, Problem):
+            super().log_exception(typ, value, tb)
+
+    def answer(self, value: Any) -> None:
+        """Finish with JSON."""
+        self.finish(msgspec.json.encode(value))
+
+
+class ObjectHandler(PlatformHandler):
+    """One object."""
+
+    async def get(self, key: str) -> None:
+        """Read it."""
+        stored = await self.model.get(urllib.parse.unquote(key))
+        if stored is None:
+            self.set_status(404)
+            self.answer({"kind": "not-found"})
+            return
+        self.answer(stored)
+
+    async def put(self, key: str) -> None:
+        """Write it."""
+        if len(self.request.body) > MAX_VALUE_BYTES:
+            self.set_status(413)
+            self.answer({"kind": "too-large"})
+            return
+        body = msgspec.json.decode(self.request.body)
+        self.answer(
+            await self.model.put(urllib.parse.unquote(key), body["value"], body["expected"])
+        )
+
+
+class ChangesHandler(PlatformHandler):
+    """Changes of a collection."""
+
+    async def get(self, collection: str) -> None:
+        """Read or await them."""
+        since = int(self.get_query_argument("since"))
+        wait = float(self.get_query_argument("wait"))
+        self.answer(await self.model.changes(collection, since, wait))
+
+
+class LabHandler(PlatformHandler):
+    """Control of the stand-in."""
+
+    def get(self, name: str) -> None:
+        """Read the calls counted."""
+        self.answer(dict(self.model.calls))
+
+    def post(self, name: str) -> None:
+        """Switch faults or list an instance."""
+        body = msgspec.json.decode(self.request.body)
+        if name == "faults":
+            faults = {**msgspec.to_builtins(self.model.faults), **body}
+            self.model.faults = msgspec.convert(faults, PlatformFaults)
+            self.model.set_down(self.model.faults.down)
+        elif name == "instance":
+            self.model.list_instance(body["name"], body["record"])
+        self.answer({})
+
+
+def create_platform_server(model: PlatformModel) -> tornado.httpserver.HTTPServer:
+    """Make the HTTP server of a platform."""
+    arguments = {"model": model}
+    return tornado.httpserver.HTTPServer(
+        tornado.web.Application(
+            [
+                (r"/v1/(?:objects|records)/([^/]+)", ObjectHandler, arguments),
+                (r"/v1/changes/(objects|instances)", ChangesHandler, arguments),
+                (r"/lab/(\w+)", LabHandler, arguments),
+            ]
+        )
+    )
--- /dev/null
+++ b/libs/moves/src/mimosahoist/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of a service's traffic to a new upstream version."""
--- /dev/null
+++ b/libs/peers/src/mimosahoist/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and state exchange between the system's own instances."""
--- /dev/null
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -0,0 +1,400 @@
+"""Exchange of facts and copies with peers, and detection of lost members."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from mimosahoist.core import json_log
+from mimosahoist.core.tasks import TaskSet, now, unix_time
+from mimosahoist.peers.frames import (
+    PROTOCOL,
+    Frame,
+    FrameKind,
+    frame_decoder,
+    frame_encoder,
+)
+from mimosahoist.peers.members import (
+    MEMBER_PREFIX,
+    OBSERVED_PREFIX,
+    Member,
+    MemberFacts,
+    MemberState,
+    ObservedFacts,
+)
+from mimosahoist.peers.progress import Position, ProgressTable
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from typing import Any
+
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.peers.facts import FactBoard
+    from mimosahoist.peers.transport import PeerTransport
+    from mimosahoist.platform.store import Changes
+    from mimosahoist.platform.versioned import VersionedCopy
+
+PROBE_INTERVAL = 0.5
+ACK_TIMEOUT = 0.25
+INDIRECT_PROBES = 2
+SUSPICION_SECONDS = 3.0
+URGENT_FANOUT = 3
+PRUNE_ROUNDS = 10
+MAX_HEALTH_PENALTY = 4
+
+
+class Identity(NamedTuple):
+    """Who this instance is; `incarnation` rises with every start."""
+
+    cluster: str
+    instance: str
+    incarnation: int
+    peer_address: str
+    http_address: str
+    failure_domain: str
+
+
+class PeerExchange:
+    """Probes one member an interval, and syncs facts and copies with every frame.
+
+    Failure detection follows SWIM: a direct probe, indirect probes through others, suspicion,
+    death; the accused refutes with a higher incarnation. An instance that misses many answers
+    is slower to accuse, as it may itself be the slow one.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        transport: PeerTransport,
+        board: FactBoard,
+        objects: VersionedCopy,
+        instances: VersionedCopy,
+        metrics: Metrics,
+        rng: random.Random,
+        seeds: list[str],
+    ) -> None:
+        self.identity = identity
+        self.incarnation = identity.incarnation
+        self.transport = transport
+        self.board = board
+        self.objects = objects
+        self.instances = instances
+        self.metrics = metrics
+        self.rng = rng
+        self.seeds = seeds
+        self.tasks = TaskSet()
+        self.numbers = itertools.count(1)
+        self.acks: dict[int, asyncio.Future[None]] = {}
+        self.progress = ProgressTable(identity.incarnation, board, objects, instances)
+        self.rounds: list[str] = []
+        self.health_penalty = 0
+        self.last_contact = 0.0
+        self.push_scheduled = False
+        self.member_listeners: list[Callable[[str, Member], None]] = []
+        board.register(MemberFacts(), self.handle_member)
+        board.register(ObservedFacts(), self.handle_observed)
+        board.urgent_listeners.append(self.push_soon)
+        objects.listeners.append(self.handle_copy)
+        instances.listeners.append(self.handle_copy)
+
+    async def start(self) -> None:
+        """Join the cluster."""
+        self.last_contact = now()
+        await self.transport.start(self.handle_frame)
+        self.publish_self(MemberState.ALIVE)
+        self.tasks.spawn(self.probe_members(), "probe members")
+        self.tasks.spawn(self.prune(), "prune facts")
+
+    async def leave(self) -> None:
+        """Tell the others that this instance leaves."""
+        self.publish_self(MemberState.LEFT)
+        self.push()
+        await asyncio.sleep(ACK_TIMEOUT)
+
+    async def close(self) -> None:
+        """Stop taking part."""
+        await self.tasks.close()
+        await self.transport.close()
+
+    def publish_self(self, state: MemberState) -> None:
+        """Publish this instance's own record."""
+        identity = self.identity
+        member = Member(
+            self.incarnation,
+            int(state),
+            identity.peer_address,
+            identity.http_address,
+            identity.failure_domain,
+            unix_time(),
+        )
+        self.board.publish(MEMBER_PREFIX + identity.instance, list(member), urgent=True)
+
+    def publish_observed(self, revision: int) -> None:
+        """Tell which store revision this instance has in force."""
+        key = OBSERVED_PREFIX + self.identity.instance
+        self.board.publish(key, [self.identity.incarnation, revision])
+
+    def members(self) -> dict[str, Member]:
+        """All known members by instance name, this one included."""
+        start = len(MEMBER_PREFIX)
+        return {key[start:]: Member(*value) for key, value in self.board.values(MEMBER_PREFIX)}
+
+    def reachable_peers(self) -> dict[str, Member]:
+        """Members other than this one that are alive or suspect."""
+        own = self.identity.instance
+        return {
+            name: member
+            for name, member in self.members().items()
+            if name != own and member.reachable
+        }
+
+    def peer_addresses(self) -> dict[str, str]:
+        """Addresses to probe: known members, listed instances, seeds."""
+        own = self.identity
+        known = self.members()
+        addresses = {name: member.peer_address for name, member in self.reachable_peers().items()}
+        for name, record in self.instances.values(""):
+            if record.get("role") == "entry" and name not in known:
+                addresses[name] = record["peer_address"]
+        if not addresses:
+            addresses = {f"seed {seed}": seed for seed in self.seeds}
+        return {name: at for name, at in addresses.items() if at != own.peer_address}
+
+    async def probe_members(self) -> None:
+        """Probe one member an interval, each once a round in random order."""
+        while True:
+            started = now()
+            addresses = self.peer_addresses()
+            self.rounds = [name for name in self.rounds if name in addresses]
+            if not self.rounds:
+                self.rounds = list(addresses)
+                self.rng.shuffle(self.rounds)
+            if self.rounds:
+                name = self.rounds.pop()
+                await self.probe(name, addresses[name], addresses)
+            self.bury_suspects()
+            await asyncio.sleep(max(0.01, started + PROBE_INTERVAL - now()))
+
+    async def probe(self, name: str, address: str, addresses: dict[str, str]) -> None:
+        """Probe a member directly, then through others; suspect it if none gets an answer."""
+        timeout = ACK_TIMEOUT * (1 + self.health_penalty)
+        if await self.ping(name, address, timeout):
+            self.health_penalty = max(0, self.health_penalty - 1)
+            return
+        self.health_penalty = min(MAX_HEALTH_PENALTY, self.health_penalty + 1)
+        self.metrics.count("peer_probes_missed")
+        others = [other for other in addresses if other != name]
+        helpers = self.rng.sample(others, min(INDIRECT_PROBES, len(others)))
+        if helpers and await self.ping_through(name, helpers, addresses, timeout):
+            return
+        member = self.members().get(name) or self.listed_member(name)
+        if member is not None and member.state == MemberState.ALIVE:
+            self.accuse(name, member, MemberState.SUSPECT)
+
+    def listed_member(self, name: str) -> Member | None:
+        """Record for an instance that the platform lists but that no member has heard of."""
+        listed = self.instances.value(name)
+        if listed is None:
+            return None
+        return Member(
+            0,
+            int(MemberState.ALIVE),
+            listed["peer_address"],
+            listed["address"],
+            listed["failure_domain"],
+            unix_time(),
+        )
+
+    async def ping(self, name: str, address: str, timeout: float) -> bool:
+        """Send a ping; true if it is answered in time."""
+        number = next(self.numbers)
+        answered = asyncio.get_running_loop().create_future()
+        self.acks[number] = answered
+        self.send(name, address, FrameKind.PING, number)
+        try:
+            await asyncio.wait_for(answered, timeout)
+        except TimeoutError:
+            return False
+        finally:
+            del self.acks[number]
+        return True
+
+    async def ping_through(
+        self, name: str, helpers: list[str], addresses: dict[str, str], timeout: float
+    ) -> bool:
+        """Ask others to ping a member; true if one of them had an answer."""
+        number = next(self.numbers)
+        answered = asyncio.get_running_loop().create_future()
+        self.acks[number] = answered
+        for helper in helpers:
+            self.send(helper, addresses[helper], FrameKind.PING_REQUEST, number, target=name)
+        try:
+            await asyncio.wait_for(answered, 2 * timeout)
+        except TimeoutError:
+            return False
+        finally:
+            del self.acks[number]
+        return True
+
+    async def relay_ping(self, frame: Frame) -> None:
+        """Ping a member for another one and pass the answer on."""
+        address = self.peer_addresses().get(frame.target)
+        if address is not None and await self.ping(frame.target, address, ACK_TIMEOUT):
+            self.send(frame.sender, frame.peer_address, FrameKind.ACK, frame.number)
+
+    def accuse(self, name: str, member: Member, state: MemberState) -> None:
+        """Declare a member suspect or dead."""
+        record = member._replace(state=int(state), since=unix_time())
+        self.board.publish(MEMBER_PREFIX + name, list(record), urgent=True)
+        self.tell_listeners(name, record)
+
+    def bury_suspects(self) -> None:
+        """Declare dead who stayed suspect for too long."""
+        patience = SUSPICION_SECONDS * (1 + self.health_penalty)
+        for name, member in self.members().items():
+            suspected = member.state == MemberState.SUSPECT
+            if suspected and unix_time() - member.since > patience:
+                self.accuse(name, member, MemberState.DEAD)
+
+    def handle_member(self, key: str, value: Any) -> None:
+        """React to a member record learned from a peer."""
+        name = key[len(MEMBER_PREFIX) :]
+        member = Member(*value)
+        if name == self.identity.instance:
+            self.refute(member)
+            return
+        self.tell_listeners(name, member)
+
+    def refute(self, member: Member) -> None:
+        """Contradict an accusation against this instance."""
+        if member.state == MemberState.ALIVE or member.state == MemberState.LEFT:
+            return
+        self.metrics.count("peer_refutations")
+        self.health_penalty = min(MAX_HEALTH_PENALTY, self.health_penalty + 1)
+        self.incarnation = member.incarnation + 1
+        self.publish_self(MemberState.ALIVE)
+
+    def tell_listeners(self, name: str, member: Member) -> None:
+        """Log and pass on a change of a member's state."""
+        json_log.change("member", member=name, state=MemberState(member.state).name.lower())
+        if not member.reachable:
+            self.progress.forget(name)
+            self.transport.forget(member.peer_address)
+        for listener in self.member_listeners:
+            listener(name, member)
+
+    def handle_observed(self, key: str, value: Any) -> None:
+        """Nothing depends on others' observed revisions but reports."""
+
+    def handle_copy(self, changes: list[Any]) -> None:
+        """Push changed objects on."""
+        if changes:
+            self.push_soon()
+
+    def push_soon(self) -> None:
+        """Push once after the present callback, however many changes it makes."""
+        if not self.push_scheduled:
+            self.push_scheduled = True
+            asyncio.get_running_loop().call_soon(self.push)
+
+    def push(self) -> None:
+        """Push recent changes to a few random peers."""
+        self.push_scheduled = False
+        addresses = self.peer_addresses()
+        chosen = self.rng.sample(sorted(addresses), min(URGENT_FANOUT, len(addresses)))
+        for name in chosen:
+            self.send(name, addresses[name], FrameKind.PUSH, 0, self.progress.recent)
+
+    def send(
+        self,
+        name: str,
+        address: str,
+        kind: FrameKind,
+        number: int,
+        position: Position | None = None,
+        target: str = "",
+    ) -> None:
+        """Send a frame with all changes after `position`, or with none."""
+        end = self.progress.position()
+        start = position or end
+        frame = Frame(
+            PROTOCOL,
+            self.identity.cluster,
+            kind,
+            self.identity.instance,
+            self.identity.incarnation,
+            self.identity.peer_address,
+            number,
+            target,
+            self.progress.digest_for(name),
+            start.sequence,
+            end.sequence,
+            self.board.since(start.sequence),
+            changes_after(self.objects, start.objects),
+            changes_after(self.instances, start.instances),
+        )
+        self.transport.send(address, frame_encoder.encode(frame))
+
+    def handle_frame(self, data: bytes) -> None:
+        """Take a frame in; reject and count what is not understood."""
+        try:
+            frame = frame_decoder.decode(data)
+        except (msgspec.DecodeError, RecursionError):
+            self.metrics.count("peer_frames_malformed")
+            return
+        if frame.protocol != PROTOCOL or frame.cluster != self.identity.cluster:
+            self.metrics.count("peer_frames_foreign")
+            return
+        if frame.sender == self.identity.instance:
+            return
+        self.last_contact = now()
+        self.merge(frame)
+        self.answer(frame)
+
+    def merge(self, frame: Frame) -> None:
+        """Merge a frame's facts and changes."""
+        for copy, changes in ((self.objects, frame.objects), (self.instances, frame.instances)):
+            if changes is not None:
+                copy.merge(changes)
+        changed = self.board.merge(frame.facts)
+        self.progress.note(frame)
+        if changed and frame.kind == FrameKind.PUSH:
+            self.push_soon()
+
+    def answer(self, frame: Frame) -> None:
+        """React to a frame by its kind."""
+        if frame.kind == FrameKind.PING:
+            lacking = self.progress.position_of(frame.digest)
+            self.send(frame.sender, frame.peer_address, FrameKind.ACK, frame.number, lacking)
+        elif frame.kind == FrameKind.PING_REQUEST:
+            self.tasks.spawn(self.relay_ping(frame), "relay ping")
+        elif frame.kind == FrameKind.ACK:
+            self.handle_ack(frame)
+
+    def handle_ack(self, frame: Frame) -> None:
+        """Resolve the probe and send the other side what it lacks."""
+        waiting = self.acks.get(frame.number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(None)
+        if self.progress.lacks_something(frame.digest):
+            lacking = self.progress.position_of(frame.digest)
+            self.send(frame.sender, frame.peer_address, FrameKind.PUSH, 0, lacking)
+
+    async def prune(self) -> None:
+        """Move the window of recent changes on, and drop expired facts."""
+        rounds = 0
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL)
+            self.progress.tick()
+            rounds += 1
+            if rounds % PRUNE_ROUNDS == 0:
+                self.board.prune()
+
+
+def changes_after(copy: VersionedCopy, revision: int) -> Changes | None:
+    """Changes after a revision, or None if there are none."""
+    return copy.since(revision) if revision < copy.revision else None
--- /dev/null
+++ b/libs/peers/src/mimosahoist/peers/feed.py
@@ -0,0 +1,110 @@
+"""Feeds the copies from the platform's store, by a few watchers in each failure domain."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mimosahoist.core import json_log
+from mimosahoist.core.hashing import hash_text
+from mimosahoist.core.problem import Problem
+from mimosahoist.core.tasks import TaskSet, now
+
+if TYPE_CHECKING:
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.peers.exchange import PeerExchange
+    from mimosahoist.platform.store import Collection, PlatformStore
+    from mimosahoist.platform.versioned import VersionedCopy
+
+WATCHERS_PER_DOMAIN = 2
+WATCH_SECONDS = 20.0
+RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 5.0
+ROLE_CHECK_SECONDS = 1.0
+PEERS_FIRST_SECONDS = 1.0
+
+
+class StoreFeed:
+    """Watches the store if this instance is one of its failure domain's watchers.
+
+    The others get every change from their peers, so that the store's calls depend on the number
+    of failure domains and not on the fleet.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        exchange: PeerExchange,
+        objects: VersionedCopy,
+        instances: VersionedCopy,
+        metrics: Metrics,
+    ) -> None:
+        self.store = store
+        self.exchange = exchange
+        self.copies: dict[Collection, VersionedCopy] = {
+            "objects": objects,
+            "instances": instances,
+        }
+        self.metrics = metrics
+        self.tasks = TaskSet()
+        self.last_contact = 0.0
+        self.available = False
+
+    async def start(self) -> None:
+        """Begin to feed both copies."""
+        for collection in self.copies:
+            self.tasks.spawn(self.feed(collection), f"feed {collection}")
+
+    async def close(self) -> None:
+        """Stop feeding."""
+        await self.tasks.close()
+
+    def is_watcher(self) -> bool:
+        """Whether this instance is among the first of its failure domain in rendezvous order."""
+        identity = self.exchange.identity
+        names = [
+            name
+            for name, member in self.exchange.reachable_peers().items()
+            if member.failure_domain == identity.failure_domain
+        ]
+        own_rank = hash_text(identity.instance)
+        ahead = sum(1 for name in names if hash_text(name) > own_rank)
+        return ahead < WATCHERS_PER_DOMAIN
+
+    async def feed(self, collection: Collection) -> None:
+        """Watch while it is this instance's turn."""
+        copy = self.copies[collection]
+        if self.exchange.seeds:
+            await asyncio.sleep(PEERS_FIRST_SECONDS)
+        retry = RETRY_SECONDS
+        while True:
+            if copy.revision > 0 and not self.is_watcher():
+                await asyncio.sleep(ROLE_CHECK_SECONDS)
+                continue
+            if await self.watch(collection, copy):
+                retry = RETRY_SECONDS
+            else:
+                await asyncio.sleep(retry)
+                retry = min(MAX_RETRY_SECONDS, retry * 2)
+
+    async def watch(self, collection: Collection, copy: VersionedCopy) -> bool:
+        """Read or await changes once; false if the store gave no answer."""
+        wait = WATCH_SECONDS if copy.revision > 0 else 0.0
+        self.metrics.count("store_calls")
+        try:
+            changes = await self.store.changes(collection, copy.revision, wait)
+        except Problem:
+            self.set_available(False)
+            return False
+        self.set_available(True)
+        self.last_contact = now()
+        copy.merge(changes)
+        if changes.revision == 0:
+            await asyncio.sleep(RETRY_SECONDS)
+        return True
+
+    def set_available(self, available: bool) -> None:
+        """Log when the store comes or goes."""
+        if available != self.available:
+            self.available = available
+            json_log.change("store", available=available)
--- /dev/null
+++ b/libs/peers/src/mimosahoist/peers/frames.py
@@ -0,0 +1,71 @@
+"""Frames between instances, encoded as MessagePack."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+import msgspec
+
+from mimosahoist.peers.facts import Fact
+from mimosahoist.platform.store import Changes
+
+PROTOCOL = 1
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame asks for."""
+
+    PING = 1
+    ACK = 2
+    PING_REQUEST = 3
+    PUSH = 4
+
+
+class Digest(NamedTuple):
+    """How far the sender has come.
+
+    Attributes
+    ----------
+    objects, instances : int
+        Revisions of the sender's copies.
+    sequence : int
+        Number of the sender's latest fact.
+    seen : int
+        Number of the receiver's latest fact that the sender has; 0 if it has none.
+    seen_incarnation : int
+        Incarnation of the receiver that `seen` speaks of.
+    """
+
+    objects: int
+    instances: int
+    sequence: int
+    seen: int
+    seen_incarnation: int
+
+
+class Frame(NamedTuple):
+    """One frame.
+
+    `facts` holds all facts of the sender that changed after number `facts_since` up to
+    `facts_until`.
+    """
+
+    protocol: int
+    cluster: str
+    kind: FrameKind
+    sender: str
+    incarnation: int
+    peer_address: str
+    number: int
+    target: str
+    digest: Digest
+    facts_since: int
+    facts_until: int
+    facts: list[Fact]
+    objects: Changes | None
+    instances: Changes | None
+
+
+frame_decoder = msgspec.msgpack.Decoder(Frame)
+frame_encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/libs/peers/src/mimosahoist/peers/progress.py
@@ -0,0 +1,97 @@
+"""How far peers have come with this instance's facts and copies."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from mimosahoist.peers.frames import Digest
+
+if TYPE_CHECKING:
+    from mimosahoist.peers.facts import FactBoard
+    from mimosahoist.peers.frames import Frame
+    from mimosahoist.platform.versioned import VersionedCopy
+
+
+class Position(NamedTuple):
+    """A point in the local history: fact number and revisions of the copies."""
+
+    sequence: int
+    objects: int
+    instances: int
+
+
+class PeerProgress:
+    """Progress of one incarnation of a peer.
+
+    Attributes
+    ----------
+    received : int
+        The peer's facts up to this number are merged here.
+    """
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.received = 0
+
+
+class ProgressTable:
+    """Progress of all peers."""
+
+    def __init__(
+        self,
+        incarnation: int,
+        board: FactBoard,
+        objects: VersionedCopy,
+        instances: VersionedCopy,
+    ) -> None:
+        self.incarnation = incarnation
+        self.board = board
+        self.objects = objects
+        self.instances = instances
+        self.peers: dict[str, PeerProgress] = {}
+        self.recent = Position(0, 0, 0)
+        self.next_recent = Position(0, 0, 0)
+
+    def position(self) -> Position:
+        """Present end of the local history."""
+        return Position(self.board.sequence, self.objects.revision, self.instances.revision)
+
+    def tick(self) -> None:
+        """Let the window of recent changes move on by one interval."""
+        self.recent = self.next_recent
+        self.next_recent = self.position()
+
+    def digest_for(self, name: str) -> Digest:
+        """Digest to send to a peer."""
+        peer = self.peers.get(name)
+        return Digest(
+            self.objects.revision,
+            self.instances.revision,
+            self.board.sequence,
+            peer.received if peer else 0,
+            peer.incarnation if peer else 0,
+        )
+
+    def position_of(self, digest: Digest) -> Position:
+        """Where in the local history the sender of a digest is."""
+        known = digest.seen_incarnation == self.incarnation
+        return Position(digest.seen if known else 0, digest.objects, digest.instances)
+
+    def lacks_something(self, digest: Digest) -> bool:
+        """Whether the sender of a digest lacks facts or changes that are here."""
+        theirs = self.position_of(digest)
+        own = self.position()
+        return any(mine > other for mine, other in zip(own, theirs, strict=True))
+
+    def note(self, frame: Frame) -> None:
+        """Note the facts of a frame as received, if there is no gap before them."""
+        peer = self.peers.get(frame.sender)
+        if peer is None or peer.incarnation < frame.incarnation:
+            peer = PeerProgress(frame.incarnation)
+            self.peers[frame.sender] = peer
+        if peer.incarnation == frame.incarnation and frame.facts_since <= peer.received:
+            peer.received = max(peer.received, frame.facts_until)
+
+    def forget(self, name: str) -> None:
+        """Drop a peer that is gone."""
+        self.peers.pop(name, None)
--- /dev/null
+++ b/libs/peers/src/mimosahoist/peers/zmq_transport.py
@@ -0,0 +1,131 @@
+"""Peer transport over ZeroMQ with CURVE keys."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+
+from mimosahoist.core.tasks import TaskSet
+from mimosahoist.peers.transport import PeerTransport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mimosahoist.core.metrics import Metrics
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+SEND_QUEUE_FRAMES = 64
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 2000
+HEARTBEAT_MS = 2000
+
+
+class ClusterKeys(NamedTuple):
+    """CURVE key pair that all instances of a cluster share, as Z85 text."""
+
+    public: str
+    secret: str
+
+
+class KeyChecker:
+    """Lets in only clients that hold the cluster's key."""
+
+    def __init__(self, public: str, metrics: Metrics) -> None:
+        self.public = public
+        self.metrics = metrics
+
+    def callback(self, domain: str, key: str | bytes) -> bool:
+        """Whether a client's public key is the cluster's."""
+        text = key.decode() if isinstance(key, bytes) else key
+        if text != self.public:
+            self.metrics.count("peer_strangers_rejected")
+            return False
+        return True
+
+
+class ZmqPeerTransport(PeerTransport):
+    """A ROUTER socket for receiving and a DEALER socket for each peer."""
+
+    def __init__(self, bind: str, keys: ClusterKeys, metrics: Metrics) -> None:
+        self.bind = bind
+        self.keys = keys
+        self.metrics = metrics
+        self.context = zmq.asyncio.Context()
+        self.receiver: zmq.asyncio.Socket | None = None
+        self.senders: dict[str, zmq.Socket] = {}
+        self.plain_context: zmq.Context | None = None
+        self.authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+        self.tasks = TaskSet()
+
+    async def start(self, handler: Callable[[bytes], None]) -> None:
+        """Bind and begin to receive."""
+        self.authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self.context)
+        self.authenticator.start()
+        checker = KeyChecker(self.keys.public, self.metrics)
+        self.authenticator.configure_curve_callback(credentials_provider=checker)
+        self.receiver = self.context.socket(zmq.ROUTER)
+        self.receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        self.receiver.setsockopt(zmq.LINGER, 0)
+        self.receiver.curve_server = True
+        self.receiver.curve_secretkey = self.keys.secret.encode()
+        self.receiver.curve_publickey = self.keys.public.encode()
+        self.receiver.bind(f"tcp://{self.bind}")
+        self.plain_context = zmq.Context.shadow(self.context.underlying)
+        self.tasks.spawn(self.receive(handler), "peer receiver")
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        await self.tasks.close()
+        for address in list(self.senders):
+            self.forget(address)
+        if self.receiver is not None:
+            self.receiver.close(0)
+        if self.authenticator is not None:
+            self.authenticator.stop()
+        self.context.term()
+
+    async def receive(self, handler: Callable[[bytes], None]) -> None:
+        """Hand each received frame to the handler."""
+        while True:
+            parts = await self.receiver.recv_multipart()
+            frame = parts[-1]
+            self.metrics.count("peer_frames_received")
+            self.metrics.count("peer_bytes_received", len(frame))
+            handler(frame)
+
+    def send(self, address: str, frame: bytes) -> None:
+        """Queue a frame for a peer; drop it if the queue is full."""
+        sender = self.senders.get(address)
+        if sender is None:
+            sender = self.connect(address)
+        try:
+            sender.send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            self.metrics.count("peer_frames_dropped")
+            return
+        self.metrics.count("peer_frames_sent")
+        self.metrics.count("peer_bytes_sent", len(frame))
+
+    def connect(self, address: str) -> zmq.Socket:
+        """Make the socket for a peer."""
+        sender = self.plain_context.socket(zmq.DEALER)
+        sender.setsockopt(zmq.LINGER, 0)
+        sender.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
+        sender.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        sender.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sender.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        sender.curve_serverkey = self.keys.public.encode()
+        sender.curve_publickey = self.keys.public.encode()
+        sender.curve_secretkey = self.keys.secret.encode()
+        sender.connect(f"tcp://{address}")
+        self.senders[address] = sender
+        return sender
+
+    def forget(self, address: str) -> None:
+        """Close the socket of a peer."""
+        sender = self.senders.pop(address, None)
+        if sender is not None:
+            sender.close(0)
--- /dev/null
+++ b/libs/platform/src/mimosahoist/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API: interface, HTTP client and versioned copies."""
--- /dev/null
+++ b/libs/platform/src/mimosahoist/platform/http_store.py
@@ -0,0 +1,113 @@
+"""Client of the platform's object API over HTTP."""
+
+from __future__ import annotations
+
+import urllib.parse
+from typing import Any
+
+import msgspec
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+
+from mimosahoist.core.problem import Problem, ProblemKind
+from mimosahoist.platform.store import (
+    Changes,
+    Collection,
+    PlatformStore,
+    StoredObject,
+    collection_of,
+)
+
+REQUEST_TIMEOUT = 2.0
+WATCH_MARGIN = 2.0
+MAX_CLIENTS = 64
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+
+
+class HttpPlatformStore(PlatformStore):
+    """Speaks the object API described in docs/INTERFACES.md."""
+
+    def __init__(self, url: str) -> None:
+        self.url = url.rstrip("/")
+        self.client: CurlAsyncHTTPClient | None = None
+
+    async def start(self) -> None:
+        """Create the HTTP client on the running loop."""
+        self.client = CurlAsyncHTTPClient(max_clients=MAX_CLIENTS, force_instance=True)
+
+    async def close(self) -> None:
+        """Close the HTTP client."""
+        if self.client is not None:
+            self.client.close()
+
+    async def fetch(self, path: str, timeout: float, method: str, body: Any) -> HTTPResponse:
+        """Send one request; raise a Problem if no usable answer comes."""
+        request = HTTPRequest(
+            self.url + path,
+            method=method,
+            body=msgspec.json.encode(body) if body is not None else None,
+            request_timeout=timeout,
+            connect_timeout=REQUEST_TIMEOUT,
+        )
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError) as error:
+            raise unavailable(str(error)) from error
+        if response.code in (STATUS_NOT_FOUND, STATUS_CONFLICT) or response.code < 300:
+            return response
+        raise unavailable(f"status {response.code}")
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Read one object."""
+        path = object_path(key)
+        response = await self.fetch(path, REQUEST_TIMEOUT, "GET", None)
+        if response.code == STATUS_NOT_FOUND:
+            return None
+        return decode(response.body, StoredObject)
+
+    async def put(self, key: str, value: dict[str, Any] | None, expected: int) -> StoredObject:
+        """Write one object under a condition."""
+        path = object_path(key)
+        body = {"value": value, "expected": expected}
+        response = await self.fetch(path, REQUEST_TIMEOUT, "PUT", body)
+        if response.code == STATUS_CONFLICT:
+            raise conflict(key)
+        return decode(response.body, StoredObject)
+
+    async def changes(self, collection: Collection, since: int, wait: float) -> Changes:
+        """Read or await changes."""
+        path = f"/v1/changes/{collection}?since={since}&wait={wait:g}"
+        response = await self.fetch(path, wait + WATCH_MARGIN, "GET", None)
+        return decode(response.body, Changes)
+
+
+def object_path(key: str) -> str:
+    """URL path of an object."""
+    return f"/v1/{collection_of(key)}/{urllib.parse.quote(key, safe='')}"
+
+
+def decode(body: bytes, kind: type) -> Any:
+    """Decode an answer of the store."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise unavailable(f"answer not understood ({error})") from error
+
+
+def unavailable(reason: str) -> Problem:
+    """Problem for a store that gave no usable answer."""
+    return Problem(
+        ProblemKind.STORE,
+        f"the platform's store gave no answer ({reason})",
+        "try again; a write may have taken effect, so read it back first",
+    )
+
+
+def conflict(key: str) -> Problem:
+    """Problem for a conditional write that lost."""
+    return Problem(
+        ProblemKind.CONFLICT,
+        f"'{key}' was changed by someone else",
+        "read the new version, see what changed, and apply again",
+    )
--- /dev/null
+++ b/libs/query/src/mimosahoist/query/search.py
@@ -0,0 +1,245 @@
+"""A search over all shards of a service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from mimosahoist.core.problem import Problem, ProblemKind
+from mimosahoist.core.tasks import now
+from mimosahoist.query.request import MissingShard, SearchResult
+from mimosahoist.query.shard_task import REASON_NO_UPSTREAM, ShardTask
+
+if TYPE_CHECKING:
+    from mimosahoist.query.plan import Plan
+    from mimosahoist.query.request import SearchRequest
+    from mimosahoist.query.service import Service
+    from mimosahoist.upstream.messages import Hit
+
+MERGE_MARGIN = 0.005
+MAX_RESTARTS = 3
+MIN_HEDGE_DELAY = 0.002
+
+
+class Search:
+    """Scatters a search, gathers the answers and merges them."""
+
+    def __init__(self, service: Service, request: SearchRequest) -> None:
+        self.service = service
+        self.request = request
+        self.version = service.choose_version()
+        self.plan: Plan | None = None
+        self.tasks: list[ShardTask] = []
+        self.open_tasks = 0
+        self.snapshot_lost = False
+        self.encoded_prefix = b""
+        self.wake: asyncio.Future[None] | None = None
+        self.calls_sent = 0
+        self.started = 0.0
+
+    async def run(self) -> SearchResult:
+        """Answer within the deadline.
+
+        Raises
+        ------
+        Problem
+            If the request is refused before anything was sent.
+        """
+        self.service.crash_guard.check(self.request.fingerprint)
+        await self.service.admission.enter(self.request.priority, self.request.deadline)
+        self.started = now()
+        try:
+            return await self.search_snapshots()
+        finally:
+            self.abandon()
+            self.service.admission.leave(now() - self.started)
+
+    async def search_snapshots(self) -> SearchResult:
+        """Search one snapshot, and another from the start if that one is lost."""
+        for _ in range(MAX_RESTARTS):
+            previous = self.plan
+            self.plan = self.service.plan(self.version)
+            if self.plan is None:
+                raise no_snapshot()
+            if previous is not None and previous.snapshot == self.plan.snapshot:
+                break
+            await self.search_plan()
+            if not self.snapshot_lost or now() >= self.gather_until():
+                break
+            self.abandon()
+            self.service.metrics.count("searches_restarted")
+        return self.result()
+
+    async def search_plan(self) -> None:
+        """Scatter over the plan's groups and gather until all are done or time is up."""
+        self.snapshot_lost = False
+        self.encoded_prefix = self.encode_prefix()
+        self.tasks = [
+            ShardTask(self, group, number) for number, group in enumerate(self.plan.groups)
+        ]
+        self.open_tasks = len(self.tasks)
+        remaining = self.tasks
+        if self.needs_canary():
+            canary = self.choose_canary()
+            remaining = [task for task in self.tasks if task is not canary]
+            await self.run_canary(canary)
+            if self.is_rejected():
+                self.service.crash_guard.check(self.request.fingerprint)
+        for task in remaining:
+            self.service.retry_budget.earn()
+            self.service.hedge_budget.earn()
+            task.launch()
+        await self.gather()
+
+    def needs_canary(self) -> bool:
+        """Whether one shard is asked first, since nothing answered this request before."""
+        if self.needs_exclusive():
+            return True
+        if not self.service.features.canary or not self.service.spec["canary"]:
+            return False
+        return not self.service.crash_guard.proven(self.request.fingerprint)
+
+    def choose_canary(self) -> ShardTask:
+        """Task of a group that can take a call now, so that a lost group delays nothing."""
+        at = now()
+        for task in self.tasks:
+            if any(upstream.has_room(at) for upstream in task.group.upstreams):
+                return task
+        return self.tasks[0]
+
+    def needs_exclusive(self) -> bool:
+        """Whether calls of this request must run alone on their upstream."""
+        return self.service.crash_guard.suspect(self.request.fingerprint)
+
+    def is_rejected(self) -> bool:
+        """Whether the request has crashed too many upstreams."""
+        try:
+            self.service.crash_guard.check(self.request.fingerprint)
+        except Problem:
+            return True
+        return False
+
+    async def run_canary(self, task: ShardTask) -> None:
+        """Ask one shard group and wait until it is known whether the request is harmless."""
+        self.service.metrics.count("canaries")
+        task.launch()
+        hedge_at = now() + self.hedge_delay()
+        until = self.gather_until()
+        while not task.finished and now() < until:
+            await self.sleep_until(min(hedge_at, until))
+            if now() >= hedge_at:
+                self.hedge(task)
+                hedge_at = until
+
+    def hedge(self, task: ShardTask) -> None:
+        """Hedge a slow task if hedging is on."""
+        if self.service.features.hedging:
+            task.hedge()
+
+    def hedge_delay(self) -> float:
+        """Seconds after which a call counts as slow."""
+        return max(MIN_HEDGE_DELAY, self.service.hedge_delay.value)
+
+    async def gather(self) -> None:
+        """Wait for the open tasks; hedge those that are slow."""
+        until = self.gather_until()
+        hedge_at = now() + self.hedge_delay()
+        while self.open_tasks and now() < until:
+            await self.sleep_until(min(hedge_at, until))
+            if self.open_tasks and now() >= hedge_at:
+                for task in self.tasks:
+                    if not task.finished:
+                        self.hedge(task)
+                hedge_at = now() + self.hedge_delay()
+
+    def gather_until(self) -> float:
+        """Loop time at which a partial answer is returned.
+
+        An organisation that weighs time over coverage gives up on the last shards earlier.
+        """
+        budget = self.request.deadline - self.started
+        if self.service.preference == "tail":
+            return self.started + budget * self.service.spec["soft_timeout_share"]
+        return self.request.deadline - min(MERGE_MARGIN, budget / 2)
+
+    async def sleep_until(self, at: float) -> None:
+        """Sleep until a loop time, or until a task finishes that may end the search."""
+        self.wake = asyncio.get_running_loop().create_future()
+        timer = asyncio.get_running_loop().call_at(at, self.handle_timer)
+        try:
+            await self.wake
+        finally:
+            timer.cancel()
+            self.wake = None
+
+    def handle_timer(self) -> None:
+        """Wake the search at a point in time."""
+        if self.wake is not None and not self.wake.done():
+            self.wake.set_result(None)
+
+    def handle_finished(self, task: ShardTask) -> None:
+        """Note a finished task."""
+        self.open_tasks -= 1
+        if task.hits is not None:
+            self.service.crash_guard.answered(self.request.fingerprint)
+        if self.open_tasks == 0 or self.open_tasks == len(self.tasks) - 1:
+            self.handle_timer()
+
+    def abandon(self) -> None:
+        """Drop tasks that did not finish in time."""
+        for task in self.tasks:
+            if not task.finished:
+                task.finished = True
+                if task.reserved is not None:
+                    task.reserved.release(self.request.request_id)
+                task.cancel_losers()
+        self.service.forget_parked(self)
+
+    def encode_prefix(self) -> bytes:
+        """Encode what all shard calls of a plan share."""
+        request = self.request
+        query = msgspec.json.encode(request.query)
+        wanted = request.limit + request.offset
+        return b'{"query":%s,"route":%s,"snapshot":%d,"limit":%d,"shards":' % (
+            query,
+            msgspec.json.encode(request.route),
+            self.plan.snapshot,
+            wanted,
+        )
+
+    def result(self) -> SearchResult:
+        """Merge the answers of the one snapshot and state the coverage."""
+        hits: list[Hit] = []
+        missing = [MissingShard(shard, REASON_NO_UPSTREAM) for shard in self.plan.unheld]
+        answered = 0
+        for task in self.tasks:
+            if task.hits is None:
+                missing.extend(MissingShard(shard, task.reason) for shard in task.group.shards)
+            else:
+                answered += len(task.group.shards)
+                hits.extend(task.hits)
+        return SearchResult(
+            self.request.request_id,
+            self.plan.snapshot,
+            self.plan.total,
+            answered,
+            sorted(missing),
+            merge_hits(hits, self.request.limit, self.request.offset),
+        )
+
+
+def merge_hits(hits: list[Hit], limit: int, offset: int) -> list[Hit]:
+    """Best hits by score; equal scores are ordered by id."""
+    hits.sort(key=lambda hit: (-hit[0], hit[1]))
+    return hits[offset : offset + limit]
+
+
+def no_snapshot() -> Problem:
+    """Problem for a service without any snapshot."""
+    return Problem(
+        ProblemKind.UNAVAILABLE,
+        "no upstream of the service holds a snapshot",
+        "send it again later; operators see 'mimosahoist status'",
+    )
--- /dev/null
+++ b/libs/upstream/src/mimosahoist/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Connections, limits, health and replica choice towards upstreams."""
--- /dev/null
+++ b/libs/upstream/src/mimosahoist/upstream/curl_transport.py
@@ -0,0 +1,233 @@
+"""Transport over HTTP/1.1 with libcurl's multi interface."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from typing import TYPE_CHECKING
+
+import pycurl
+
+from mimosahoist.upstream.transport import (
+    Connection,
+    ExchangeFailure,
+    FailureKind,
+    Reply,
+    Transport,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+MAX_CACHED_CONNECTIONS = 20_000
+CONNECT_TIMEOUT_MS = 1000
+MILLISECONDS = 1000
+HEADERS = ["Content-Type: application/json", "Expect:", "Accept:", "User-Agent:"]
+CONNECT_ERRORS = {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
+
+
+class CurlTransport(Transport):
+    """Drives all transfers of a process from one epoll set.
+
+    libcurl's sockets live in an epoll set of their own, whose descriptor is the single one that
+    the event loop watches; so a wake-up serves every socket that is ready.
+    """
+
+    def __init__(self) -> None:
+        self.multi = pycurl.CurlMulti()
+        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self.handle_socket)
+        self.multi.setopt(pycurl.M_TIMERFUNCTION, self.handle_timer)
+        self.multi.setopt(pycurl.M_MAXCONNECTS, MAX_CACHED_CONNECTIONS)
+        self.epoll = select.epoll()
+        self.interest: dict[int, int] = {}
+        self.active: set[int] = set()
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.timer: asyncio.Handle | None = None
+        self.timer_at = 0.0
+        self.connections_opened = 0
+
+    async def start(self) -> None:
+        """Watch the epoll set on the running loop."""
+        self.loop = asyncio.get_running_loop()
+        self.loop.add_reader(self.epoll.fileno(), self.handle_ready)
+
+    async def close(self) -> None:
+        """Stop watching; connections close with the process."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.loop is not None:
+            self.loop.remove_reader(self.epoll.fileno())
+        self.epoll.close()
+
+    def open(self, address: str, fresh: bool) -> CurlConnection:
+        """Make a connection object with an easy handle of its own."""
+        return CurlConnection(self, address, fresh)
+
+    def handle_socket(self, event: int, fd: int, multi: object, data: object) -> None:
+        """Follow libcurl's wishes about a socket.
+
+        A removed socket stays registered, since the next exchange on a kept connection wants it
+        again; `handle_ready` drops it if it becomes ready while unused.
+        """
+        if event == pycurl.POLL_REMOVE:
+            self.active.discard(fd)
+            return
+        self.active.add(fd)
+        mask = 0
+        if event & pycurl.POLL_IN:
+            mask |= select.EPOLLIN
+        if event & pycurl.POLL_OUT:
+            mask |= select.EPOLLOUT
+        if self.interest.get(fd) != mask:
+            self.watch(fd, mask)
+
+    def watch(self, fd: int, mask: int) -> None:
+        """Register a socket in the epoll set."""
+        self.interest[fd] = mask
+        try:
+            self.epoll.modify(fd, mask)
+        except FileNotFoundError:
+            self.epoll.register(fd, mask)
+
+    def unwatch(self, fd: int) -> None:
+        """Drop a socket that became ready while no transfer used it."""
+        self.interest.pop(fd, None)
+        try:
+            self.epoll.unregister(fd)
+        except (FileNotFoundError, OSError):
+            return
+
+    def handle_opened(self, fd: int, purpose: int) -> int:
+        """Forget what an earlier socket of the same number wanted."""
+        self.interest.pop(fd, None)
+        self.connections_opened += 1
+        return pycurl.SOCKOPT_OK
+
+    def handle_timer(self, timeout_ms: int) -> None:
+        """Schedule libcurl's next time-out, keeping an earlier one that is set already."""
+        if timeout_ms < 0:
+            return
+        at = self.loop.time() + timeout_ms / MILLISECONDS
+        if self.timer is not None:
+            if self.timer_at <= at:
+                return
+            self.timer.cancel()
+        self.timer_at = at
+        if timeout_ms == 0:
+            self.timer = self.loop.call_soon(self.handle_timeout)
+        else:
+            self.timer = self.loop.call_at(at, self.handle_timeout)
+
+    def handle_timeout(self) -> None:
+        """Let libcurl act on its time-outs."""
+        self.timer = None
+        self.multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self.collect()
+        if self.timer is None:
+            self.handle_timer(self.multi.timeout())
+
+    def handle_ready(self) -> None:
+        """Let libcurl act on every ready socket."""
+        for fd, events in self.epoll.poll(0):
+            if fd not in self.active:
+                self.unwatch(fd)
+                continue
+            flags = 0
+            if events & select.EPOLLIN:
+                flags |= pycurl.CSELECT_IN
+            if events & select.EPOLLOUT:
+                flags |= pycurl.CSELECT_OUT
+            if events & (select.EPOLLERR | select.EPOLLHUP):
+                flags |= pycurl.CSELECT_ERR
+            self.multi.socket_action(fd, flags)
+        self.collect()
+
+    def collect(self) -> None:
+        """Hand finished transfers to their connections."""
+        remaining = 1
+        while remaining:
+            remaining, done, failed = self.multi.info_read()
+            for easy in done:
+                self.multi.remove_handle(easy)
+                easy.connection.handle_done()
+            for easy, code, _ in failed:
+                self.multi.remove_handle(easy)
+                easy.connection.handle_failed(code)
+
+
+class CurlConnection(Connection):
+    """An easy handle that is used again for each exchange."""
+
+    def __init__(self, transport: CurlTransport, address: str, fresh: bool) -> None:
+        self.transport = transport
+        self.base = f"http://{address}"
+        self.path = ""
+        self.method = ""
+        self.chunks: list[bytes] = []
+        self.future: asyncio.Future[Reply] | None = None
+        self.easy = pycurl.Curl()
+        self.easy.connection = self
+        self.configure(fresh)
+
+    def configure(self, fresh: bool) -> None:
+        """Set the options that stay the same over all exchanges."""
+        easy = self.easy
+        easy.setopt(pycurl.NOSIGNAL, 1)
+        easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        easy.setopt(pycurl.HTTPHEADER, HEADERS)
+        easy.setopt(pycurl.PROXY, "")
+        easy.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        easy.setopt(pycurl.SOCKOPTFUNCTION, self.transport.handle_opened)
+        if fresh:
+            easy.setopt(pycurl.FRESH_CONNECT, 1)
+            easy.setopt(pycurl.FORBID_REUSE, 1)
+
+    def exchange(self, path: str, body: bytes, timeout: float) -> Awaitable[Reply]:
+        """Start a transfer and return the future of its answer."""
+        easy = self.easy
+        if path != self.path:
+            self.path = path
+            easy.setopt(pycurl.URL, self.base + path)
+        self.set_body(body)
+        easy.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout * MILLISECONDS)))
+        self.chunks = []
+        easy.setopt(pycurl.WRITEFUNCTION, self.chunks.append)
+        self.future = self.transport.loop.create_future()
+        self.transport.multi.add_handle(easy)
+        return self.future
+
+    def set_body(self, body: bytes) -> None:
+        """Set method and body."""
+        method = "POST" if body else "GET"
+        if method != self.method:
+            self.method = method
+            self.easy.setopt(pycurl.POST if body else pycurl.HTTPGET, 1)
+        if body:
+            self.easy.setopt(pycurl.POSTFIELDS, body)
+
+    def handle_done(self) -> None:
+        """Resolve the future with the answer."""
+        if not self.future.done():
+            status = self.easy.getinfo(pycurl.RESPONSE_CODE)
+            self.future.set_result(Reply(status, b"".join(self.chunks)))
+
+    def handle_failed(self, code: int) -> None:
+        """Resolve the future with a failure."""
+        if self.future.done():
+            return
+        connected = self.easy.getinfo(pycurl.PRETRANSFER_TIME) > 0
+        if code in CONNECT_ERRORS or not connected:
+            failure = ExchangeFailure(FailureKind.CONNECT, False)
+        elif code == pycurl.E_OPERATION_TIMEDOUT:
+            failure = ExchangeFailure(FailureKind.TIMEOUT, True)
+        else:
+            failure = ExchangeFailure(FailureKind.BROKEN, True)
+        self.future.set_exception(failure)
+
+    def close(self) -> None:
+        """Abandon a transfer in progress and free the handle."""
+        if self.future is not None and not self.future.done():
+            self.transport.multi.remove_handle(self.easy)
+            self.future.cancel()
+        self.easy.connection = None
+        self.easy.close()
--- /dev/null
+++ b/libs/upstream/src/mimosahoist/upstream/pool.py
@@ -0,0 +1,128 @@
+"""All upstreams of one service, and the choice among them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mimosahoist.core.metrics import SlidingQuantile
+from mimosahoist.core.tasks import now
+from mimosahoist.upstream.upstream import Upstream
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.platform.kinds import InstanceRecord, ServiceSpec
+    from mimosahoist.upstream.quota import ShareView
+    from mimosahoist.upstream.ramp import RampState
+    from mimosahoist.upstream.transport import Transport
+
+RAMP_FEED_PROBABILITY = 0.1
+MEDIAN_PERCENT = 50.0
+OTHER_VERSION_PENALTY = 1000.0
+
+
+class UpstreamPool:
+    """Upstreams of a service.
+
+    Attributes
+    ----------
+    domains_out : frozenset of str
+        Failure domains that operators have taken out.
+    """
+
+    def __init__(
+        self,
+        spec: ServiceSpec,
+        transport: Transport,
+        shares: ShareView,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.spec = spec
+        self.transport = transport
+        self.shares = shares
+        self.metrics = metrics
+        self.rng = rng
+        self.upstreams: dict[str, Upstream] = {}
+        self.domains_out: frozenset[str] = frozenset()
+        self.median = SlidingQuantile(MEDIAN_PERCENT, 0.0)
+        self.plan_epoch = 0
+        self.room_listeners: list[Callable[[], None]] = []
+        self.ramp_listeners: list[Callable[[str, RampState], None]] = []
+
+    async def close(self) -> None:
+        """Close all upstreams."""
+        for upstream in self.upstreams.values():
+            await upstream.close()
+
+    async def add(self, name: str, record: InstanceRecord) -> Upstream:
+        """Begin to use an upstream."""
+        upstream = Upstream(
+            name,
+            record["address"],
+            record["failure_domain"],
+            record.get("version", ""),
+            self.spec,
+            self.transport,
+            self,
+        )
+        self.upstreams[name] = upstream
+        await upstream.start()
+        self.handle_snapshots()
+        return upstream
+
+    async def remove(self, name: str) -> None:
+        """Forget an upstream that is gone."""
+        upstream = self.upstreams.pop(name)
+        self.handle_snapshots()
+        await upstream.close()
+
+    def typical_latency(self) -> float | None:
+        """Median seconds of warm upstreams, if there are enough answers."""
+        return self.median.value or None
+
+    def handle_room(self) -> None:
+        """Tell listeners that an upstream may have room."""
+        for listener in self.room_listeners:
+            listener()
+
+    def handle_snapshots(self) -> None:
+        """Note that plans have to be made anew."""
+        self.plan_epoch += 1
+
+    def publish_ramp(self, name: str, state: RampState) -> None:
+        """Tell listeners of a ramp state that was decided here."""
+        for listener in self.ramp_listeners:
+            listener(name, state)
+        self.handle_room()
+
+    def pick(
+        self,
+        candidates: Iterable[Upstream],
+        versions: tuple[str, ...],
+        excluded: Iterable[Upstream] = (),
+    ) -> Upstream | None:
+        """Choose an upstream with room.
+
+        The least own in-flight count times latency wins; among `versions` the first goes before
+        the others. Load reported by upstreams is not used, as it lags and misleads.
+        """
+        at = now()
+        best = None
+        best_score = 0.0
+        for upstream in candidates:
+            if upstream.version not in versions or upstream in excluded:
+                continue
+            if not upstream.has_room(at):
+                continue
+            score = (upstream.in_flight + 1) * upstream.latency
+            if upstream.version != versions[0]:
+                score += OTHER_VERSION_PENALTY
+            elif not upstream.ramp.warm and self.rng.random() < RAMP_FEED_PROBABILITY:
+                return upstream
+            if best is None or score < best_score:
+                best = upstream
+                best_score = score
+        return best
--- /dev/null
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -0,0 +1,391 @@
+"""One upstream as this instance sees it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from mimosahoist.core import json_log
+from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.upstream import messages
+from mimosahoist.upstream.health import Health
+from mimosahoist.upstream.quota import ShareView, leads, share_of
+from mimosahoist.upstream.ramp import Ramp, RampState
+from mimosahoist.upstream.transport import Connection, ExchangeFailure, FailureKind, Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.platform.kinds import ServiceSpec
+    from mimosahoist.upstream.pool import UpstreamPool
+    from mimosahoist.upstream.transport import Transport
+
+CONTROL_CONNECTIONS = 1
+STATUS_INTERVAL = 1.0
+STATUS_INTERVAL_EJECTED = 0.25
+STATUS_TIMEOUT = 1.0
+CANCEL_TIMEOUT = 0.5
+PROBE_TIMEOUT = 2.0
+SILENCE_GRACE = 0.1
+LATENCY_WEIGHT = 0.2
+INITIAL_LATENCY = 0.010
+WARM_REPORT_SECONDS = 3.0
+
+
+@dataclass
+class Call:
+    """One exchange on behalf of a request.
+
+    Attributes
+    ----------
+    path : str
+        Path of the upstream's protocol.
+    body : bytes
+        Encoded message.
+    deadline : float
+        Loop time after which the answer is of no use.
+    done : callable
+        Called with the call once `outcome` is set.
+    """
+
+    path: str
+    body: bytes
+    request: str
+    deadline: float
+    done: Callable[[Call], None]
+    upstream: Upstream | None = None
+    outcome: Reply | ExchangeFailure | None = None
+    started: float = 0.0
+    elapsed: float = 0.0
+
+
+class Upstream:
+    """Connections, limits and health of one upstream.
+
+    Each data connection has a task that takes calls one after the other; a further task polls the
+    status over a control connection.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        failure_domain: str,
+        version: str,
+        spec: ServiceSpec,
+        transport: Transport,
+        pool: UpstreamPool,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.failure_domain = failure_domain
+        self.version = version
+        self.spec = spec
+        self.transport = transport
+        self.pool = pool
+        self.metrics: Metrics = pool.metrics
+        self.shares: ShareView = pool.shares
+        self.ramp = Ramp(spec["cold_concurrency"], spec["slots"] + spec["queue"])
+        self.health = Health()
+        self.tasks = TaskSet()
+        self.status: messages.UpstreamStatus | None = None
+        self.listed_leaving = False
+        self.reported_draining = False
+        self.exclusive_for: str | None = None
+        self.refresh = asyncio.Event()
+        self.latency = INITIAL_LATENCY
+        self.in_flight = 0
+        self.workers = 0
+        self.idle: deque[asyncio.Future[Call]] = deque()
+        self.lingering: deque[float] = deque()
+        self.control: Connection | None = None
+        self.control_lock = asyncio.Lock()
+        self.warm_since: float | None = None
+        self.cached_limit = 0
+        self.limit_inputs: tuple[int, int, int] | None = None
+
+    async def start(self) -> None:
+        """Begin to poll the status."""
+        self.control = self.transport.open(self.address, fresh=False)
+        self.tasks.spawn(self.poll_status(), f"status {self.name}")
+
+    async def close(self) -> None:
+        """Stop all tasks and close all connections."""
+        await self.tasks.close()
+        self.control.close()
+
+    @property
+    def limit(self) -> int:
+        """Concurrent calls that this instance may have on the upstream."""
+        inputs = (self.ramp.total, self.shares.epoch, len(self.lingering))
+        if inputs != self.limit_inputs:
+            self.limit_inputs = inputs
+            self.cached_limit = self.compute_limit()
+        return self.cached_limit
+
+    def compute_limit(self) -> int:
+        """Smaller of the shares of concurrency and of connections."""
+        concurrency = share_of(self.ramp.total, self.name, self.shares)
+        connections = share_of(self.spec["connections"], self.name, self.shares)
+        usable = connections - CONTROL_CONNECTIONS - len(self.lingering)
+        return max(0, min(concurrency, usable))
+
+    def available(self, at: float) -> bool:
+        """Whether new work may go to this upstream at all."""
+        return (
+            at < self.shares.valid_until
+            and not self.listed_leaving
+            and not self.reported_draining
+            and self.failure_domain not in self.pool.domains_out
+            and self.health.available(at)
+        )
+
+    def has_room(self, at: float) -> bool:
+        """Whether one more call may be sent now."""
+        if self.lingering:
+            self.expire_lingering(at)
+        return self.exclusive_for is None and self.in_flight < self.limit and self.available(at)
+
+    def reserve(self, request: str, at: float) -> bool:
+        """Keep the upstream free for one request; true once nothing else is in flight.
+
+        A request that was in flight when another upstream broke runs alone, so that a second
+        break can be put down to it and to no other.
+        """
+        if not self.available(at) or self.limit == 0:
+            return False
+        if self.exclusive_for is None:
+            self.exclusive_for = request
+        return self.exclusive_for == request and self.in_flight == 0
+
+    def release(self, request: str) -> None:
+        """End a reservation."""
+        if self.exclusive_for == request:
+            self.exclusive_for = None
+            self.pool.handle_room()
+
+    def submit(self, call: Call) -> None:
+        """Send a call; the caller has checked `has_room`."""
+        call.upstream = self
+        call.started = now()
+        self.in_flight += 1
+        while self.idle:
+            waiter = self.idle.popleft()
+            if not waiter.done():
+                waiter.set_result(call)
+                return
+        self.workers += 1
+        self.tasks.spawn(self.serve_connection(call), f"connection {self.name}")
+
+    async def serve_connection(self, call: Call) -> None:
+        """Serve one data connection: one call after the other until there are too many."""
+        fresh = self.spec["kind"] == "run"
+        connection = self.transport.open(self.address, fresh)
+        try:
+            while True:
+                await self.serve_call(connection, call)
+                if self.workers > max(1, self.limit):
+                    return
+                waiter = asyncio.get_running_loop().create_future()
+                self.idle.append(waiter)
+                call = await waiter
+        finally:
+            self.workers -= 1
+            connection.close()
+
+    async def serve_call(self, connection: Connection, call: Call) -> None:
+        """Exchange one call and account for its outcome."""
+        timeout = call.deadline - now() + SILENCE_GRACE
+        try:
+            call.outcome = await connection.exchange(call.path, call.body, max(timeout, 0.001))
+        except ExchangeFailure as failure:
+            call.outcome = failure
+        at = now()
+        call.elapsed = at - call.started
+        self.in_flight -= 1
+        if isinstance(call.outcome, Reply):
+            self.health.succeed()
+            self.latency += LATENCY_WEIGHT * (call.elapsed - self.latency)
+        else:
+            self.handle_failure(call.outcome, at)
+        call.done(call)
+        self.pool.handle_room()
+
+    def handle_failure(self, failure: ExchangeFailure, at: float) -> None:
+        """Count a failed exchange and keep the connection budget."""
+        self.metrics.count(f"exchange_failed_{failure.kind}")
+        if failure.kind is FailureKind.TIMEOUT:
+            self.metrics.count("connections_given_up")
+            self.lingering.append(at + self.spec["linger_ms"] / 1000)
+        if self.health.fail(failure.kind, at):
+            self.metrics.count("upstream_ejected")
+
+    def expire_lingering(self, at: float) -> None:
+        """Stop counting given-up connections that the upstream has closed by now."""
+        while self.lingering and self.lingering[0] <= at:
+            self.lingering.popleft()
+
+    def observe(self, elapsed: float, reported_warm: bool, incarnation: int) -> None:
+        """Learn from an answer about warmth and restarts."""
+        at = now()
+        if self.ramp.restart(incarnation, at):
+            self.publish_ramp("new incarnation")
+        if self.ramp.warm and reported_warm:
+            self.pool.median.record(elapsed)
+        self.ramp.observe(elapsed, self.pool.typical_latency(), reported_warm)
+        if self.ramp.looks_cold(reported_warm) and self.ramp.reset(at):
+            self.metrics.count("cold_again")
+            self.publish_ramp("cold again")
+        self.promote_if_leading(at)
+
+    def promote_if_leading(self, at: float) -> None:
+        """Enter the next stage of slow start, if it is this instance that decides it."""
+        if self.ramp.may_promote(at) and leads(self.name, self.shares):
+            self.ramp.promote(at)
+            self.publish_ramp("promoted")
+
+    def publish_ramp(self, reason: str) -> None:
+        """Tell the other instances of a new ramp state."""
+        state = self.ramp.state
+        json_log.change("ramp", upstream=self.name, reason=reason, stage=state.stage)
+        self.pool.publish_ramp(self.name, state)
+
+    def adopt_ramp(self, state: RampState) -> None:
+        """Take a ramp state from another instance."""
+        if self.ramp.adopt(state, now()):
+            self.pool.handle_room()
+
+    async def cancel(self, request: str) -> None:
+        """Ask the upstream to stop a call, if the control connection is free."""
+        if self.control_lock.locked():
+            return
+        body = msgspec.json.encode({"request": request})
+        await self.exchange_control(messages.CANCEL_PATH, body, CANCEL_TIMEOUT)
+        self.metrics.count("cancel_sent")
+
+    async def exchange_control(self, path: str, body: bytes, timeout: float) -> Reply | None:
+        """Exchange over the control connection; None if there is no answer."""
+        async with self.control_lock:
+            try:
+                return await self.control.exchange(path, body, timeout)
+            except ExchangeFailure as failure:
+                if failure.kind is not FailureKind.TIMEOUT or path == messages.STATUS_PATH:
+                    self.handle_failure(failure, now())
+                return None
+
+    async def poll_status(self) -> None:
+        """Read the status at intervals, and probe while the upstream warms up."""
+        while True:
+            reply = await self.exchange_control(messages.STATUS_PATH, b"", STATUS_TIMEOUT)
+            if reply is not None and reply.status == messages.STATUS_OK:
+                self.take_status(reply)
+            if not self.ramp.warm and leads(self.name, self.shares) and self.available(now()):
+                await self.warm_up()
+            self.refresh.clear()
+            try:
+                await asyncio.wait_for(self.refresh.wait(), self.poll_interval())
+            except TimeoutError:
+                continue
+
+    def forget_snapshot(self, snapshot: int) -> None:
+        """Drop a snapshot that the upstream no longer has, and read its status soon."""
+        if self.status is not None:
+            held = [item for item in self.status["snapshots"] if item["id"] != snapshot]
+            self.status["snapshots"] = held
+        self.pool.handle_snapshots()
+        self.refresh.set()
+
+    def note_newest(self, snapshot: int) -> None:
+        """Read the status soon if the upstream has a snapshot that is not known here."""
+        known = self.status["snapshots"] if self.status is not None else []
+        if not known or known[-1]["id"] < snapshot:
+            self.refresh.set()
+
+    def poll_interval(self) -> float:
+        """Seconds until the next poll."""
+        if self.ramp.warm and self.health.available(now()):
+            return STATUS_INTERVAL
+        return STATUS_INTERVAL_EJECTED
+
+    def take_status(self, reply: Reply) -> None:
+        """Take a status report in."""
+        try:
+            status = messages.status_decoder.decode(reply.body)
+        except msgspec.DecodeError:
+            self.metrics.count("status_not_understood")
+            return
+        at = now()
+        was_ejected = not self.health.available(at)
+        self.health.succeed()
+        if was_ejected:
+            self.pool.handle_room()
+        if status["draining"] != self.reported_draining:
+            json_log.change("upstream drain", upstream=self.name, draining=status["draining"])
+            self.reported_draining = status["draining"]
+        if self.ramp.restart(status["incarnation"], at):
+            self.publish_ramp("new incarnation")
+        if not status["warm"]:
+            self.warm_since = None
+        elif self.warm_since is None:
+            self.warm_since = at
+        changed = self.status is None or self.status["snapshots"] != status["snapshots"]
+        self.status = status
+        if changed:
+            self.pool.handle_snapshots()
+
+    async def warm_up(self) -> None:
+        """Gather evidence of warmth without waiting for callers' requests.
+
+        A searcher gets a probe search. A service that runs operations cannot be probed, so a
+        report that has been warm for longer than reports lag counts as one answer.
+        """
+        at = now()
+        if self.spec["kind"] == "search":
+            await self.probe()
+        elif self.warm_since is not None and at - self.warm_since > WARM_REPORT_SECONDS:
+            self.ramp.successes += 1
+            self.promote_if_leading(at)
+
+    async def probe(self) -> None:
+        """Run a probe search within the upstream's present limit."""
+        if self.status is None or not self.status["snapshots"] or not self.has_room(now()):
+            return
+        snapshot = self.status["snapshots"][-1]
+        call = messages.SearchCall(
+            request=f"probe-{self.name}",
+            query={"text": ""},
+            route="probe",
+            snapshot=snapshot["id"],
+            shards=snapshot["shards"],
+            limit=1,
+            deadline_ms=int(PROBE_TIMEOUT * 1000),
+        )
+        finished = asyncio.get_running_loop().create_future()
+        body = msgspec.json.encode(call)
+        self.metrics.count("probe_sent")
+        self.submit(
+            Call(
+                messages.SEARCH_PATH,
+                body,
+                call["request"],
+                now() + PROBE_TIMEOUT,
+                lambda done: finished.done() or finished.set_result(done),
+            )
+        )
+        done = await finished
+        if isinstance(done.outcome, Reply) and done.outcome.status == messages.STATUS_OK:
+            self.take_probe_answer(done.outcome, done.elapsed)
+
+    def take_probe_answer(self, reply: Reply, elapsed: float) -> None:
+        """Learn from the answer to a probe."""
+        try:
+            answer = messages.search_answer_decoder.decode(reply.body)
+        except msgspec.DecodeError:
+            self.metrics.count("answer_not_understood")
+            return
+        self.observe(elapsed, answer["warm"], answer["incarnation"])
