--- a/libs/declare/src/mimosahoist/declare/schema.py
+++ b/libs/declare/src/mimosahoist/declare/schema.py
@@ -7,6 +7,8 @@
 
 
 class TemplateTable(TypedDict):
+    """A template of organisations."""
+
     parameters: list[str]
     preference: str
     services: list[dict[str, Any]]
--- a/libs/lab/src/mimosahoist/lab/main.py
+++ b/libs/lab/src/mimosahoist/lab/main.py
@@ -8,7 +8,10 @@
 import sys
 from pathlib import Path
 
+from absl import logging
+
 from mimosahoist.lab import deployment as sizes
+from mimosahoist.lab import soak
 from mimosahoist.lab.demo import demo
 from mimosahoist.lab.platform_model import PlatformModel
 from mimosahoist.lab.platform_server import create_platform_server
@@ -66,7 +69,11 @@
     shown.add_argument("--base-port", type=int, default=DEFAULT_PORT)
     shown.add_argument("--examples", default=str(Path("examples")))
     shown.set_defaults(command=demo)
-    for subparser in (platform, searchers, shown):
+    soaked = subparsers.add_parser("soak", help="randomised run with all faults, paused clock")
+    soaked.add_argument("--deployment", choices=sorted(sizes.DEPLOYMENTS), default="tidy-bothy")
+    soaked.add_argument("--seconds", type=float, default=60.0)
+    soaked.set_defaults(command=soak.command)
+    for subparser in (platform, searchers, shown, soaked):
         subparser.add_argument("--seed", type=int, default=DEFAULT_SEED)
     return parser
 
@@ -74,6 +81,7 @@
 def main() -> None:
     """Run a command."""
     arguments = build_parser().parse_args()
+    logging.set_verbosity(logging.WARNING)
     sys.exit(asyncio.run(arguments.command(arguments)))
 
 
