Requests that crash upstreams run alone before they are rejected; a closed idle connection asks for the status first

Cause: an innocent request in flight at two upstreams of one lost failure domain was rejected; a canary that timed out was followed by the fan-out; calls met a restarted, cold upstream while its new incarnation was not yet known.

--- a/libs/entry/src/mimosahoist/entry/shared_facts.py
+++ b/libs/entry/src/mimosahoist/entry/shared_facts.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import msgspec
+
 from mimosahoist.entry.directory import RAMP_PREFIX
 from mimosahoist.peers.facts import FactKind
 from mimosahoist.query.crash_guard import CrashRecord
@@ -30,34 +32,33 @@
 
 
 class CrashFacts(FactKind):
-    """Crash records of requests: upstreams and Unix time of expiry, joined by union."""
+    """Crash records of requests: breaks, time of the last answer, time of expiry."""
 
     prefix = CRASH_PREFIX
 
     def valid(self, value: Any) -> bool:
         """Check the form of a record."""
-        if not isinstance(value, list | tuple) or len(value) != 2:
+        try:
+            msgspec.convert(value, CrashRecord)
+        except msgspec.ValidationError:
             return False
-        upstreams, until = value
-        texts = isinstance(upstreams, list | tuple) and all(
-            isinstance(item, str) for item in upstreams
-        )
-        return texts and isinstance(until, int | float)
+        return True
 
     def join(self, held: Any, received: Any) -> Any:
         """Join two records."""
-        return [sorted({*held[0], *received[0]}), max(held[1], received[1])]
+        return crash_value(crash_record(held).join(crash_record(received)))
 
     def expired(self, value: Any, at: float) -> bool:
         """Drop records past their time."""
-        return at > value[1]
+        return at > value[2]
 
 
 def crash_value(record: CrashRecord) -> list[Any]:
     """Shared form of a crash record."""
-    return [sorted(record.upstreams), record.until]
+    breaks = sorted(list(item) for item in record.breaks)
+    return [breaks, record.cleared, record.until]
 
 
 def crash_record(value: Any) -> CrashRecord:
     """Crash record from its shared form."""
-    return CrashRecord(frozenset(value[0]), value[1])
+    return msgspec.convert(value, CrashRecord)
--- a/libs/lab/src/mimosahoist/lab/memory.py
+++ b/libs/lab/src/mimosahoist/lab/memory.py
@@ -69,9 +69,11 @@
         self.failure_domain = failure_domain
         self.connections: set[MemoryConnection] = set()
 
-    def open(self, address: str, fresh: bool) -> MemoryConnection:
+    def open(
+        self, address: str, fresh: bool, handle_closed: Callable[[], None]
+    ) -> MemoryConnection:
         """Make a connection object."""
-        return MemoryConnection(self, self.network.models[address], fresh)
+        return MemoryConnection(self, self.network.models[address], fresh, handle_closed)
 
     async def close(self) -> None:
         """Close all connections, as the end of the process does."""
@@ -82,8 +84,16 @@
 class MemoryConnection(Connection):
     """A connection to a model."""
 
-    def __init__(self, transport: MemoryTransport, model: SearcherModel, fresh: bool) -> None:
+    def __init__(
+        self,
+        transport: MemoryTransport,
+        model: SearcherModel,
+        fresh: bool,
+        handle_closed: Callable[[], None],
+    ) -> None:
         self.transport = transport
+        self.handle_closed = handle_closed
+        self.busy = False
         self.model = model
         self.fresh = fresh
         self.opened = False
@@ -92,7 +102,15 @@
 
     def exchange(self, path: str, body: bytes, timeout: float) -> Awaitable[Reply]:
         """Exchange with the model."""
-        return self.carry(path, body, timeout)
+        return self.occupy(path, body, timeout)
+
+    async def occupy(self, path: str, body: bytes, timeout: float) -> Reply:
+        """Exchange, and be busy meanwhile."""
+        self.busy = True
+        try:
+            return await self.carry(path, body, timeout)
+        finally:
+            self.busy = False
 
     async def carry(self, path: str, body: bytes, timeout: float) -> Reply:
         """Open if needed, pass the request, wait for the answer until the timeout."""
@@ -158,7 +176,10 @@
 
     def handle_crash(self) -> None:
         """The model broke all its connections."""
+        idle = self.opened and not self.busy
         self.drop()
+        if idle and not self.is_cut():
+            self.handle_closed()
 
     def drop(self) -> None:
         """Close the network connection."""
--- a/libs/lab/src/mimosahoist/lab/soak.py
+++ b/libs/lab/src/mimosahoist/lab/soak.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from mimosahoist.core.problem import Problem, RunState
+from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.core.tasks import now
 from mimosahoist.lab import deployment as sizes
 from mimosahoist.lab.corpus import expected_hits
@@ -29,6 +29,7 @@
 SETTLE_SECONDS = 15.0
 WATCH_SECONDS = 0.05
 DISTINCT_QUERIES = 200
+KILLS_BORNE = 6
 
 
 class Violation(NamedTuple):
@@ -94,6 +95,8 @@
             result = await self.fleet.search(service, text, DEADLINE, app)
         except Problem as problem:
             self.counts[f"search refused {problem.kind}"] += 1
+            if problem.kind is ProblemKind.REJECTED_REQUEST:
+                self.violate("innocent requests are not blamed", text)
         except KeyError:
             self.counts["search at an instance without configuration"] += 1
         except asyncio.CancelledError:
@@ -211,6 +214,9 @@
 
     def check_records(self) -> None:
         """Hold the product's claims against the searchers' own records."""
+        killed = self.fleet.total("killed")
+        if killed > KILLS_BORNE * self.faults.killers:
+            self.violate("few upstreams lost to one request", f"{killed} lost")
         operations: Counter[str] = Counter()
         begun: set[str] = set()
         for model in self.fleet.models.values():
--- a/libs/lab/src/mimosahoist/lab/soak_faults.py
+++ b/libs/lab/src/mimosahoist/lab/soak_faults.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mimosahoist.core import json_log
+from mimosahoist.core.problem import Problem
 from mimosahoist.core.tasks import now
 from mimosahoist.lab import deployment as sizes
 from mimosahoist.lab.memory import PLATFORM
@@ -23,6 +24,9 @@
 REPARTITION_FACTOR = 2
 DRAIN_GRACE_SECONDS = 3.0
 KILLER_TEXT = "killer"
+KILLER_SENDS = 10
+KILLER_DEADLINE = 0.33
+KILLER_PAUSE = 0.1
 
 
 class FaultInjector:
@@ -35,6 +39,7 @@
         self.drained: dict[str, float] = {}
         self.leaving: dict[str, float] = {}
         self.snapshot = 1
+        self.killers = 0
         self.kinds: dict[str, Callable[[], Awaitable[None]]] = {
             "straggle": self.straggle,
             "silent": self.silent,
@@ -59,6 +64,7 @@
             "kill entry": self.kill_entry,
             "stop entry": self.stop_entry,
             "operators race": self.operators_race,
+            "killer request": self.killer_request,
         }
 
     async def run(self, until: float) -> None:
@@ -240,6 +246,20 @@
         await self.hold()
         await self.fleet.start_entry(int(name.rpartition("-")[2]))
 
+    async def killer_request(self) -> None:
+        """A request that crashes every upstream running it is sent again and again."""
+        self.killers += 1
+        text = f"{KILLER_TEXT} {self.killers}"
+        models = [model for model in self.fleet.models.values() if model.spec.kind == "search"]
+        for model in models:
+            model.faults.crash_text = KILLER_TEXT
+        service = models[0].spec.service
+        for _ in range(KILLER_SENDS):
+            try:
+                await self.fleet.search(service, text, KILLER_DEADLINE)
+            except (Problem, KeyError, asyncio.CancelledError):
+                await asyncio.sleep(KILLER_PAUSE)
+
     async def operators_race(self) -> None:
         """Two operators write the same object on the same version; one at most may win."""
         platform = self.fleet.platform
--- a/libs/query/src/mimosahoist/query/crash_guard.py
+++ b/libs/query/src/mimosahoist/query/crash_guard.py
@@ -14,24 +14,66 @@
 
     from mimosahoist.core.metrics import Metrics
 
-CRASHES_BEFORE_REJECTION = 2
+LONE_BREAKS_BEFORE_REJECTION = 2
+KEPT_BREAKS = 16
 SUSPICION_SECONDS = 60.0
 REJECTION_SECONDS = 600.0
 KNOWN_GOOD_CAPACITY = 20_000
 SUSPECT_CAPACITY = 10_000
 
 
+class Break(NamedTuple):
+    """An upstream that broke while it ran a request.
+
+    Attributes
+    ----------
+    upstream : str
+        Name of the upstream.
+    at : float
+        Unix time in seconds.
+    alone : bool
+        Whether this instance had sent it nothing else at the time.
+    """
+
+    upstream: str
+    at: float
+    alone: bool
+
+
 class CrashRecord(NamedTuple):
-    """Upstreams that broke while a request ran on them; `until` is Unix time in seconds."""
+    """Breaks while a request ran, and when it was last answered; Unix times in seconds.
 
-    upstreams: frozenset[str]
+    Records are joined by union and maximum, so they converge whatever the order. Only breaks
+    after the last answer count.
+    """
+
+    breaks: frozenset[Break]
+    cleared: float
     until: float
 
+    def counted(self) -> list[Break]:
+        """Breaks after the last answer."""
+        return [item for item in self.breaks if item.at > self.cleared]
+
+    def rejected(self) -> bool:
+        """Whether the request broke enough upstreams on which it ran alone."""
+        alone = {item.upstream for item in self.counted() if item.alone}
+        return len(alone) >= LONE_BREAKS_BEFORE_REJECTION
+
+    def join(self, other: CrashRecord) -> CrashRecord:
+        """Join two records; of many breaks the latest are kept."""
+        latest = sorted(self.breaks | other.breaks, key=lambda item: item.at)[-KEPT_BREAKS:]
+        return CrashRecord(
+            frozenset(latest), max(self.cleared, other.cleared), max(self.until, other.until)
+        )
+
 
 class CrashGuard:
     """Knows which requests are harmless, suspect or rejected, by their fingerprints.
 
-    Records of all instances are joined by union, so they converge whatever the order.
+    A request that was in flight when an upstream broke is only suspect, as others were in flight
+    there too. It then runs alone, and is rejected once upstreams break under it alone; an answer
+    clears it.
     """
 
     def __init__(self, metrics: Metrics) -> None:
@@ -42,8 +84,7 @@
 
     def check(self, fingerprint: str) -> None:
         """Raise a Problem if the request is rejected."""
-        record = self.current(fingerprint)
-        if record is None or len(record.upstreams) < CRASHES_BEFORE_REJECTION:
+        if not self.is_rejected(fingerprint):
             return
         self.metrics.count("refused_crashing")
         raise Problem(
@@ -52,6 +93,11 @@
             "do not send it again; report it to the service's owner",
         )
 
+    def is_rejected(self, fingerprint: str) -> bool:
+        """Whether the request may not be sent to any upstream."""
+        record = self.current(fingerprint)
+        return record is not None and record.rejected()
+
     def current(self, fingerprint: str) -> CrashRecord | None:
         """Record of a request that has not expired."""
         record = self.records.get(fingerprint)
@@ -62,7 +108,8 @@
 
     def suspect(self, fingerprint: str) -> bool:
         """Whether an upstream broke while it ran the request, and none answered since."""
-        return self.current(fingerprint) is not None
+        record = self.current(fingerprint)
+        return record is not None and bool(record.counted())
 
     def proven(self, fingerprint: str) -> bool:
         """Whether an upstream has answered the request."""
@@ -74,15 +121,20 @@
         self.known_good.move_to_end(fingerprint)
         if len(self.known_good) > KNOWN_GOOD_CAPACITY:
             self.known_good.popitem(last=False)
-        record = self.records.get(fingerprint)
-        if record is not None and len(record.upstreams) < CRASHES_BEFORE_REJECTION:
-            del self.records[fingerprint]
+        if self.suspect(fingerprint):
+            at = unix_time()
+            self.publish(fingerprint, CrashRecord(frozenset(), at, at + SUSPICION_SECONDS))
 
-    def blame(self, fingerprint: str, upstream: str) -> None:
+    def blame(self, fingerprint: str, upstream: str, alone: bool) -> None:
         """Count an upstream that broke while it ran the request."""
+        at = unix_time()
         self.known_good.pop(fingerprint, None)
-        record = CrashRecord(frozenset((upstream,)), unix_time() + SUSPICION_SECONDS)
         self.metrics.count("crash_suspicions")
+        broken = frozenset((Break(upstream, at, alone),))
+        self.publish(fingerprint, CrashRecord(broken, 0.0, at + SUSPICION_SECONDS))
+
+    def publish(self, fingerprint: str, record: CrashRecord) -> None:
+        """Join a record of this instance's own and tell the others."""
         self.join(fingerprint, record)
         for listener in self.listeners:
             listener(fingerprint, self.records[fingerprint])
@@ -90,12 +142,10 @@
     def join(self, fingerprint: str, record: CrashRecord) -> None:
         """Join a record with what is known."""
         held = self.current(fingerprint)
-        upstreams = record.upstreams | held.upstreams if held else record.upstreams
-        until = max(record.until, held.until) if held else record.until
-        rejected = len(upstreams) >= CRASHES_BEFORE_REJECTION
-        if rejected and (held is None or len(held.upstreams) < CRASHES_BEFORE_REJECTION):
-            until = max(until, unix_time() + REJECTION_SECONDS)
+        joined = held.join(record) if held is not None else record
+        if joined.rejected() and (held is None or not held.rejected()):
             json_log.change("request rejected", fingerprint=fingerprint)
-        self.records[fingerprint] = CrashRecord(upstreams, until)
+            joined = joined._replace(until=max(joined.until, unix_time() + REJECTION_SECONDS))
+        self.records[fingerprint] = joined
         if len(self.records) > SUSPECT_CAPACITY:
             self.records.popitem(last=False)
--- a/libs/query/src/mimosahoist/query/run.py
+++ b/libs/query/src/mimosahoist/query/run.py
@@ -41,6 +41,7 @@
         self.version = service.choose_version()
         self.attempts = 0
         self.tried: list[Upstream] = []
+        self.alone = False
 
     async def run(self) -> RunResult:
         """Run the request within its deadline.
@@ -136,7 +137,8 @@
         pool = self.service.pool
         versions = self.service.versions_for(self.version)
         upstreams = [item for item in pool.upstreams.values() if item.version in versions]
-        if not self.service.crash_guard.suspect(self.request.fingerprint):
+        self.alone = self.service.crash_guard.suspect(self.request.fingerprint)
+        if not self.alone:
             return pool.pick(upstreams, versions, self.tried) or pool.pick(upstreams, versions)
         for upstream in sorted(upstreams, key=lambda item: item.in_flight):
             if upstream.reserve(self.request.request_id, now()):
@@ -212,7 +214,7 @@
                 "send it again",
             )
         if failure.kind is FailureKind.BROKEN:
-            self.service.crash_guard.blame(self.request.fingerprint, call.upstream.name)
+            self.service.crash_guard.blame(self.request.fingerprint, call.upstream.name, self.alone)
         return unknown("the connection to the upstream gave no answer")
 
     def judge_refusal(self, call: Call, reply: Reply) -> Problem:
--- a/libs/query/src/mimosahoist/query/search.py
+++ b/libs/query/src/mimosahoist/query/search.py
@@ -21,6 +21,7 @@
 MERGE_MARGIN = 0.005
 MAX_RESTARTS = 3
 MIN_HEDGE_DELAY = 0.002
+CANARY_PATIENCE = 0.03
 
 
 class Search:
@@ -36,7 +37,7 @@
         self.snapshot_lost = False
         self.encoded_prefix = b""
         self.wake: asyncio.Future[None] | None = None
-        self.calls_sent = 0
+        self.in_canary = False
         self.started = 0.0
 
     async def run(self) -> SearchResult:
@@ -80,17 +81,16 @@
             ShardTask(self, group, number) for number, group in enumerate(self.plan.groups)
         ]
         self.open_tasks = len(self.tasks)
-        remaining = self.tasks
         if self.needs_canary():
-            canary = self.choose_canary()
-            remaining = [task for task in self.tasks if task is not canary]
-            await self.run_canary(canary)
-            if self.is_rejected():
-                self.service.crash_guard.check(self.request.fingerprint)
-        for task in remaining:
-            self.service.retry_budget.earn()
-            self.service.hedge_budget.earn()
-            task.launch()
+            self.in_canary = True
+            await self.run_canaries()
+            self.in_canary = False
+            self.service.crash_guard.check(self.request.fingerprint)
+            if self.needs_exclusive() or now() >= self.gather_until():
+                return
+        for task in self.tasks:
+            if not task.launched:
+                task.launch()
         await self.gather()
 
     def needs_canary(self) -> bool:
@@ -101,37 +101,37 @@
             return False
         return not self.service.crash_guard.proven(self.request.fingerprint)
 
-    def choose_canary(self) -> ShardTask:
-        """Task of a group that can take a call now, so that a lost group delays nothing."""
-        at = now()
-        for task in self.tasks:
-            if any(upstream.has_room(at) for upstream in task.group.upstreams):
-                return task
-        return self.tasks[0]
-
     def needs_exclusive(self) -> bool:
         """Whether calls of this request must run alone on their upstream."""
         return self.service.crash_guard.suspect(self.request.fingerprint)
 
-    def is_rejected(self) -> bool:
-        """Whether the request has crashed too many upstreams."""
-        try:
-            self.service.crash_guard.check(self.request.fingerprint)
-        except Problem:
-            return True
-        return False
+    async def run_canaries(self) -> None:
+        """Ask one shard group until it is known whether the request is harmless.
 
-    async def run_canary(self, task: ShardTask) -> None:
-        """Ask one shard group and wait until it is known whether the request is harmless."""
-        self.service.metrics.count("canaries")
-        task.launch()
+        A group that gives no sign is left for the next one; a request that broke an upstream
+        stays with its group, as it may have to be rejected.
+        """
+        at = now()
+        ready = [task for task in self.tasks if task.has_room(at)]
+        for task in ready or self.tasks:
+            self.service.metrics.count("canaries")
+            task.launch()
+            await self.wait_for_canary(task)
+            if task.finished or now() >= self.gather_until():
+                return
+
+    async def wait_for_canary(self, task: ShardTask) -> None:
+        """Wait until a canary finished, or was silent for too long to delay all other shards."""
         hedge_at = now() + self.hedge_delay()
-        until = self.gather_until()
+        patience = now() + max(CANARY_PATIENCE, 2 * self.hedge_delay())
+        until = min(patience, self.gather_until())
         while not task.finished and now() < until:
             await self.sleep_until(min(hedge_at, until))
             if now() >= hedge_at:
                 self.hedge(task)
                 hedge_at = until
+            if self.needs_exclusive():
+                until = self.gather_until()
 
     def hedge(self, task: ShardTask) -> None:
         """Hedge a slow task if hedging is on."""
@@ -184,7 +184,7 @@
         self.open_tasks -= 1
         if task.hits is not None:
             self.service.crash_guard.answered(self.request.fingerprint)
-        if self.open_tasks == 0 or self.open_tasks == len(self.tasks) - 1:
+        if self.open_tasks == 0 or self.in_canary:
             self.handle_timer()
 
     def abandon(self) -> None:
@@ -192,8 +192,7 @@
         for task in self.tasks:
             if not task.finished:
                 task.finished = True
-                if task.reserved is not None:
-                    task.reserved.release(self.request.request_id)
+                task.release_reserved()
                 task.cancel_losers()
         self.service.forget_parked(self)
 
--- a/libs/query/src/mimosahoist/query/shard_task.py
+++ b/libs/query/src/mimosahoist/query/shard_task.py
@@ -45,6 +45,7 @@
         self.open_calls: dict[str, Call] = {}
         self.spans: dict[str, Span] = {}
         self.hedged = False
+        self.launched = False
         self.finished = False
         self.hits: list[messages.Hit] | None = None
         self.reason = REASON_TIMEOUT
@@ -52,12 +53,24 @@
 
     def launch(self) -> None:
         """Send the call to the best upstream, or wait for room."""
+        self.begin()
         upstream = self.reserve() if self.search.needs_exclusive() else self.pick()
         if upstream is not None:
             self.send(upstream)
         elif not self.open_calls:
             self.wait_for_room()
 
+    def begin(self) -> None:
+        """Count the task towards the budgets, once."""
+        if not self.launched:
+            self.launched = True
+            self.service.retry_budget.earn()
+            self.service.hedge_budget.earn()
+
+    def has_room(self, at: float) -> bool:
+        """Whether an upstream of the group has room."""
+        return any(upstream.has_room(at) for upstream in self.group.upstreams)
+
     def pick(self) -> Upstream | None:
         """Choose an upstream that was not tried yet, else any."""
         pool = self.service.pool
@@ -115,7 +128,6 @@
         )
         if span is not None:
             self.spans[request] = span
-        search.calls_sent += 1
         self.service.metrics.count("shard_calls")
         upstream.submit(call)
 
@@ -149,19 +161,26 @@
         """Take the outcome of an attempt."""
         del self.open_calls[call.request]
         tracing.finish(self.spans.pop(call.request, None), outcome=type(call.outcome).__name__)
-        if self.reserved is not None:
-            self.reserved.release(self.search.request.request_id)
-            self.reserved = None
+        alone = self.release_reserved()
         if isinstance(call.outcome, ExchangeFailure):
-            self.handle_failure(call, call.outcome)
+            self.handle_failure(call, call.outcome, alone)
         else:
             self.handle_reply(call, call.outcome)
 
-    def handle_failure(self, call: Call, failure: ExchangeFailure) -> None:
+    def release_reserved(self) -> bool:
+        """End the reservation of an upstream; true if there was one."""
+        if self.reserved is None:
+            return False
+        self.reserved.release(self.search.request.request_id)
+        self.reserved = None
+        return True
+
+    def handle_failure(self, call: Call, failure: ExchangeFailure, alone: bool) -> None:
         """Handle an attempt without an answer."""
         self.note(call, failed=True)
         if failure.kind is FailureKind.BROKEN:
-            self.service.crash_guard.blame(self.search.request.fingerprint, call.upstream.name)
+            guard = self.service.crash_guard
+            guard.blame(self.search.request.fingerprint, call.upstream.name, alone)
         reason = REASON_TIMEOUT if failure.kind is FailureKind.TIMEOUT else REASON_FAILED
         self.retry(reason)
 
@@ -229,7 +248,7 @@
         if self.finished or self.open_calls:
             return
         self.reason = reason
-        if self.search.is_rejected():
+        if self.service.crash_guard.is_rejected(self.search.request.fingerprint):
             self.reason = REASON_REJECTED
             self.finish()
             return
@@ -261,9 +280,7 @@
     def finish(self) -> None:
         """End the task and stop attempts that are still out."""
         self.finished = True
-        if self.reserved is not None:
-            self.reserved.release(self.search.request.request_id)
-            self.reserved = None
+        self.release_reserved()
         if self.hits is not None:
             self.cancel_losers()
         self.search.handle_finished(self)
--- a/libs/upstream/src/mimosahoist/upstream/curl_transport.py
+++ b/libs/upstream/src/mimosahoist/upstream/curl_transport.py
@@ -17,7 +17,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Callable
 
 MAX_CACHED_CONNECTIONS = 20_000
 CONNECT_TIMEOUT_MS = 1000
@@ -41,6 +41,7 @@
         self.epoll = select.epoll()
         self.interest: dict[int, int] = {}
         self.active: set[int] = set()
+        self.owners: dict[int, Callable[[], None]] = {}
         self.loop: asyncio.AbstractEventLoop | None = None
         self.timer: asyncio.Handle | None = None
         self.timer_at = 0.0
@@ -59,9 +60,9 @@
             self.loop.remove_reader(self.epoll.fileno())
         self.epoll.close()
 
-    def open(self, address: str, fresh: bool) -> CurlConnection:
+    def open(self, address: str, fresh: bool, handle_closed: Callable[[], None]) -> CurlConnection:
         """Make a connection object with an easy handle of its own."""
-        return CurlConnection(self, address, fresh)
+        return CurlConnection(self, address, fresh, handle_closed)
 
     def handle_socket(self, event: int, fd: int, multi: object, data: object) -> None:
         """Follow libcurl's wishes about a socket.
@@ -90,16 +91,20 @@
             self.epoll.register(fd, mask)
 
     def unwatch(self, fd: int) -> None:
-        """Drop a socket that became ready while no transfer used it."""
+        """Drop a socket that became ready while no transfer used it: its other end closed."""
         self.interest.pop(fd, None)
+        owner = self.owners.pop(fd, None)
+        if owner is not None:
+            owner()
         try:
             self.epoll.unregister(fd)
         except (FileNotFoundError, OSError):
             return
 
-    def handle_opened(self, fd: int, purpose: int) -> int:
+    def handle_opened(self, fd: int, owner: Callable[[], None]) -> int:
         """Forget what an earlier socket of the same number wanted."""
         self.interest.pop(fd, None)
+        self.owners[fd] = owner
         self.connections_opened += 1
         return pycurl.SOCKOPT_OK
 
@@ -158,8 +163,15 @@
 class CurlConnection(Connection):
     """An easy handle that is used again for each exchange."""
 
-    def __init__(self, transport: CurlTransport, address: str, fresh: bool) -> None:
+    def __init__(
+        self,
+        transport: CurlTransport,
+        address: str,
+        fresh: bool,
+        handle_closed: Callable[[], None],
+    ) -> None:
         self.transport = transport
+        self.handle_closed = handle_closed
         self.base = f"http://{address}"
         self.path = ""
         self.method = ""
@@ -177,11 +189,15 @@
         easy.setopt(pycurl.HTTPHEADER, HEADERS)
         easy.setopt(pycurl.PROXY, "")
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-        easy.setopt(pycurl.SOCKOPTFUNCTION, self.transport.handle_opened)
+        easy.setopt(pycurl.SOCKOPTFUNCTION, self.handle_opened)
         if fresh:
             easy.setopt(pycurl.FRESH_CONNECT, 1)
             easy.setopt(pycurl.FORBID_REUSE, 1)
 
+    def handle_opened(self, fd: int, purpose: int) -> int:
+        """Tell the transport of a new socket."""
+        return self.transport.handle_opened(fd, self.handle_closed)
+
     def exchange(self, path: str, body: bytes, timeout: float) -> Awaitable[Reply]:
         """Start a transfer and return the future of its answer."""
         easy = self.easy
--- a/libs/upstream/src/mimosahoist/upstream/transport.py
+++ b/libs/upstream/src/mimosahoist/upstream/transport.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Callable
 
 
 class Reply(NamedTuple):
@@ -79,7 +79,7 @@
         """Release it."""
 
     @abstractmethod
-    def open(self, address: str, fresh: bool) -> Connection:
+    def open(self, address: str, fresh: bool, handle_closed: Callable[[], None]) -> Connection:
         """Make a connection object.
 
         Parameters
@@ -89,4 +89,6 @@
         fresh : bool
             True if each exchange needs a new network connection, so that no library below sends
             a request a second time after a reused connection broke.
+        handle_closed : callable
+            Called when the upstream closes a connection that carries no exchange.
         """
--- a/libs/upstream/src/mimosahoist/upstream/upstream.py
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -98,6 +98,7 @@
         self.reported_draining = False
         self.exclusive_for: str | None = None
         self.refresh = asyncio.Event()
+        self.unsure = False
         self.latency = INITIAL_LATENCY
         self.in_flight = 0
         self.workers = 0
@@ -111,7 +112,7 @@
 
     async def start(self) -> None:
         """Begin to poll the status."""
-        self.control = self.transport.open(self.address, fresh=False)
+        self.control = self.transport.open(self.address, False, self.handle_closed)
         self.tasks.spawn(self.poll_status(), f"status {self.name}")
 
     async def close(self) -> None:
@@ -138,7 +139,8 @@
     def available(self, at: float) -> bool:
         """Whether new work may go to this upstream at all."""
         return (
-            at < self.shares.valid_until
+            not self.unsure
+            and at < self.shares.valid_until
             and not self.listed_leaving
             and not self.reported_draining
             and self.failure_domain not in self.pool.domains_out
@@ -185,7 +187,7 @@
     async def serve_connection(self, call: Call) -> None:
         """Serve one data connection: one call after the other until there are too many."""
         fresh = self.spec["kind"] == "run"
-        connection = self.transport.open(self.address, fresh)
+        connection = self.transport.open(self.address, fresh, self.handle_closed)
         try:
             while True:
                 await self.serve_call(connection, call)
@@ -216,9 +218,20 @@
         call.done(call)
         self.pool.handle_room()
 
+    def handle_closed(self) -> None:
+        """The upstream closed an idle connection: it may have restarted.
+
+        Nothing more is sent until its status tells whether it is the same incarnation; or else a
+        warm upstream's load would meet a cold one.
+        """
+        self.unsure = True
+        self.refresh.set()
+
     def handle_failure(self, failure: ExchangeFailure, at: float) -> None:
         """Count a failed exchange and keep the connection budget."""
         self.metrics.count(f"exchange_failed_{failure.kind}")
+        if failure.kind is not FailureKind.TIMEOUT:
+            self.handle_closed()
         if failure.kind is FailureKind.TIMEOUT:
             self.metrics.count("connections_given_up")
             self.lingering.append(at + self.spec["linger_ms"] / 1000)
@@ -308,7 +321,7 @@
 
     def poll_interval(self) -> float:
         """Seconds until the next poll."""
-        if self.ramp.warm and self.health.available(now()):
+        if self.ramp.warm and not self.unsure and self.health.available(now()):
             return STATUS_INTERVAL
         return STATUS_INTERVAL_EJECTED
 
@@ -320,15 +333,16 @@
             self.metrics.count("status_not_understood")
             return
         at = now()
-        was_ejected = not self.health.available(at)
+        if self.ramp.restart(status["incarnation"], at):
+            self.publish_ramp("new incarnation")
+        was_out = self.unsure or not self.health.available(at)
         self.health.succeed()
-        if was_ejected:
+        self.unsure = False
+        if was_out:
             self.pool.handle_room()
         if status["draining"] != self.reported_draining:
             json_log.change("upstream drain", upstream=self.name, draining=status["draining"])
             self.reported_draining = status["draining"]
-        if self.ramp.restart(status["incarnation"], at):
-            self.publish_ramp("new incarnation")
         if not status["warm"]:
             self.warm_since = None
         elif self.warm_since is None:
