--- a/libs/lab/src/mimosahoist/lab/soak_faults.py
+++ b/libs/lab/src/mimosahoist/lab/soak_faults.py
@@ -53,6 +53,7 @@
             "swap": self.swap,
             "repartition": self.repartition,
             "upstream leaves": self.upstream_leaves,
+            "upstream replaced": self.upstream_replaced,
             "lose upstreams of a domain": self.lose_domain,
             "drain domain": self.drain_domain,
             "cut domains": self.cut_domains,
@@ -169,6 +170,14 @@
         await asyncio.sleep(DRAIN_GRACE_SECONDS + 1)
         model.faults.draining = False
 
+    async def upstream_replaced(self) -> None:
+        """A searcher vanishes from the platform's list at once, and comes back."""
+        (model,) = self.some_models(1)
+        record = sizes.searcher_record(model.spec, model.spec.name)
+        self.fleet.platform.list_instance(model.spec.name, None)
+        await self.hold()
+        self.fleet.platform.list_instance(model.spec.name, record)
+
     async def lose_domain(self) -> None:
         """All searchers of a failure domain fall over."""
         domain = self.rng.choice(sizes.FAILURE_DOMAINS)
--- a/libs/upstream/src/mimosahoist/upstream/pool.py
+++ b/libs/upstream/src/mimosahoist/upstream/pool.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.metrics import SlidingQuantile
-from mimosahoist.core.tasks import now
+from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.upstream.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -46,6 +46,7 @@
         self.metrics = metrics
         self.rng = rng
         self.upstreams: dict[str, Upstream] = {}
+        self.tasks = TaskSet()
         self.domains_out: frozenset[str] = frozenset()
         self.median = SlidingQuantile(MEDIAN_PERCENT, 0.0)
         self.plan_epoch = 0
@@ -54,6 +55,7 @@
 
     async def close(self) -> None:
         """Close all upstreams."""
+        await self.tasks.close()
         for upstream in self.upstreams.values():
             await upstream.close()
 
@@ -74,10 +76,10 @@
         return upstream
 
     async def remove(self, name: str) -> None:
-        """Forget an upstream that is gone."""
+        """Forget an upstream that is gone; calls in flight go on to their end."""
         upstream = self.upstreams.pop(name)
         self.handle_snapshots()
-        await upstream.close()
+        self.tasks.spawn(upstream.retire(), f"retire {name}")
 
     def typical_latency(self) -> float | None:
         """Median seconds of warm upstreams, if there are enough answers."""
--- a/libs/upstream/src/mimosahoist/upstream/transport.py
+++ b/libs/upstream/src/mimosahoist/upstream/transport.py
@@ -24,6 +24,7 @@
     CONNECT = "connect"
     BROKEN = "broken"
     TIMEOUT = "timeout"
+    ABANDONED = "abandoned"
 
 
 @dataclass
--- a/libs/upstream/src/mimosahoist/upstream/upstream.py
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -35,6 +35,8 @@
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY = 0.010
 WARM_REPORT_SECONDS = 3.0
+RETIRE_SECONDS = 60.0
+RETIRE_POLL_SECONDS = 0.05
 
 
 @dataclass
@@ -99,6 +101,7 @@
         self.exclusive_for: str | None = None
         self.refresh = asyncio.Event()
         self.unsure = False
+        self.closed = False
         self.latency = INITIAL_LATENCY
         self.in_flight = 0
         self.workers = 0
@@ -115,8 +118,19 @@
         self.control = self.transport.open(self.address, False, self.handle_closed)
         self.tasks.spawn(self.poll_status(), f"status {self.name}")
 
+    async def retire(self) -> None:
+        """Take no new calls, let those in flight end, then close."""
+        self.listed_leaving = True
+        until = now() + RETIRE_SECONDS
+        try:
+            while self.in_flight and now() < until:
+                await asyncio.sleep(RETIRE_POLL_SECONDS)
+        finally:
+            await self.close()
+
     async def close(self) -> None:
-        """Stop all tasks and close all connections."""
+        """Stop all tasks and close all connections; calls in flight end as abandoned."""
+        self.closed = True
         await self.tasks.close()
         self.control.close()
 
@@ -139,7 +153,8 @@
     def available(self, at: float) -> bool:
         """Whether new work may go to this upstream at all."""
         return (
-            not self.unsure
+            not self.closed
+            and not self.unsure
             and at < self.shares.valid_until
             and not self.listed_leaving
             and not self.reported_draining
@@ -207,6 +222,10 @@
             call.outcome = await connection.exchange(call.path, call.body, max(timeout, 0.001))
         except ExchangeFailure as failure:
             call.outcome = failure
+        except asyncio.CancelledError:
+            call.outcome = ExchangeFailure(FailureKind.ABANDONED, True)
+            call.done(call)
+            raise
         at = now()
         call.elapsed = at - call.started
         self.in_flight -= 1
