--- a/libs/core/src/mimosahoist/core/settings.py
+++ b/libs/core/src/mimosahoist/core/settings.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any, TypeVar, get_type_hints
+from typing import Any, TypeVar, get_args, get_origin, get_type_hints, is_typeddict
 
 import msgspec
 
@@ -57,7 +57,7 @@
 
 
 def reject_unknown_keys(table: dict[str, Any], kind: Any, source: str, prefix: str) -> None:
-    """Raise a Problem for the first key that a TypedDict does not know."""
+    """Raise a Problem for the first key that a TypedDict, or one inside it, does not know."""
     hints = get_type_hints(kind)
     for key, value in table.items():
         if key not in hints:
@@ -67,9 +67,19 @@
                 f"{source}: unknown key '{prefix}{key}'",
                 f"remove it or use one of: {known}",
             )
-        nested = hints[key]
-        if isinstance(value, dict) and hasattr(nested, "__total__"):
-            reject_unknown_keys(value, nested, source, f"{prefix}{key}.")
+        reject_unknown_inside(value, hints[key], source, f"{prefix}{key}")
+
+
+def reject_unknown_inside(value: Any, hint: Any, source: str, path: str) -> None:
+    """Look into tables, tables of tables and lists of tables."""
+    if is_typeddict(hint) and isinstance(value, dict):
+        reject_unknown_keys(value, hint, source, f"{path}.")
+    elif get_origin(hint) is dict and isinstance(value, dict):
+        for name, item in value.items():
+            reject_unknown_inside(item, get_args(hint)[1], source, f"{path}.{name}")
+    elif get_origin(hint) is list and isinstance(value, list):
+        for index, item in enumerate(value):
+            reject_unknown_inside(item, get_args(hint)[0], source, f"{path}[{index}]")
 
 
 def load(path: str, kind: type[SettingsType]) -> SettingsType:
--- a/libs/lab/src/mimosahoist/lab/deployment.py
+++ b/libs/lab/src/mimosahoist/lab/deployment.py
@@ -61,6 +61,14 @@
         ServiceSize("word-feed", "run", 1, 4, 4, 45, 1.0, 3.0),
     ),
 )
+SMALL = Deployment(
+    "small",
+    "coverage",
+    (
+        ServiceSize("catalogue", "search", 4, 3, 4, 35, 6.0, 4.0),
+        ServiceSize("orders", "run", 1, 4, 3, 110, 1.0, 3.0),
+    ),
+)
 DEPLOYMENTS = {item.organisation: item for item in (TIDY_BOTHY, LANTERN_GRID)}
 
 
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -44,6 +44,7 @@
 SUSPICION_SECONDS = 3.0
 URGENT_FANOUT = 3
 PRUNE_ROUNDS = 10
+DEAD_PROBE_ROUNDS = 4
 MAX_HEALTH_PENALTY = 4
 
 
@@ -92,6 +93,7 @@
         self.progress = ProgressTable(identity.incarnation, board, objects, instances)
         self.rounds: list[str] = []
         self.health_penalty = 0
+        self.dead_countdown = DEAD_PROBE_ROUNDS
         self.last_contact = 0.0
         self.push_scheduled = False
         self.member_listeners: list[Callable[[str, Member], None]] = []
@@ -177,8 +179,24 @@
                 name = self.rounds.pop()
                 await self.probe(name, addresses[name], addresses)
             self.bury_suspects()
+            await self.probe_dead()
             await asyncio.sleep(max(0.01, started + PROBE_INTERVAL - now()))
 
+    async def probe_dead(self) -> None:
+        """Ping a dead member now and then, as two sides of a healed cut call each other dead."""
+        self.dead_countdown -= 1
+        if self.dead_countdown > 0:
+            return
+        self.dead_countdown = DEAD_PROBE_ROUNDS
+        dead = [
+            (name, member.peer_address)
+            for name, member in self.members().items()
+            if member.state == MemberState.DEAD and name != self.identity.instance
+        ]
+        if dead:
+            name, address = self.rng.choice(dead)
+            await self.ping(name, address, ACK_TIMEOUT)
+
     async def probe(self, name: str, address: str, addresses: dict[str, str]) -> None:
         """Probe a member directly, then through others; suspect it if none gets an answer."""
         timeout = ACK_TIMEOUT * (1 + self.health_penalty)
--- /dev/null
+++ b/libs/peers/tests/test_exchange.py
@@ -0,0 +1,150 @@
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import msgspec
+
+from mimosahoist.core.metrics import Metrics
+from mimosahoist.core.tasks import now
+from mimosahoist.lab.memory import MemoryNetwork, MemoryPeerTransport
+from mimosahoist.lab.paused_loop import PausedTestCase
+from mimosahoist.peers.exchange import Identity, PeerExchange
+from mimosahoist.peers.facts import FactBoard
+from mimosahoist.peers.members import MemberState
+from mimosahoist.platform.store import Changes, StoredObject
+from mimosahoist.platform.versioned import VersionedCopy
+
+DOMAINS = "abcd"
+
+
+class Node:
+    def __init__(self, network: MemoryNetwork, number: int, seeds: list[str]) -> None:
+        self.name = f"n{number}"
+        domain = DOMAINS[number % len(DOMAINS)]
+        self.metrics = Metrics()
+        self.board = FactBoard()
+        self.objects = VersionedCopy()
+        self.transport = MemoryPeerTransport(network, f"{self.name}:p", domain)
+        self.exchange = PeerExchange(
+            Identity("c", self.name, 1, f"{self.name}:p", f"{self.name}:h", domain),
+            self.transport,
+            self.board,
+            self.objects,
+            VersionedCopy(),
+            self.metrics,
+            random.Random(number),
+            seeds,
+        )
+
+    def accept(self, revision: int) -> None:
+        item = StoredObject("organisation/a", revision, {"n": revision})
+        self.objects.merge(Changes(self.objects.revision, revision, [item]))
+
+    def states(self) -> dict[str, MemberState]:
+        return {name: MemberState(member.state) for name, member in self.exchange.members().items()}
+
+
+class ExchangeTest(PausedTestCase):
+    async def make(self, count: int) -> tuple[MemoryNetwork, list[Node]]:
+        network = MemoryNetwork(random.Random(5))
+        nodes = [Node(network, number, ["n0:p", "n1:p"]) for number in range(count)]
+        for node in nodes:
+            await node.exchange.start()
+        await self.until(lambda: all(len(node.states()) == count for node in nodes), 10)
+        return network, nodes
+
+    async def until(self, condition: Any, seconds: float) -> float:
+        started = now()
+        while not condition():
+            self.assertLess(now() - started, seconds, "did not converge in time")
+            await asyncio.sleep(0.05)
+        return now() - started
+
+    async def close(self, nodes: list[Node]) -> None:
+        for node in nodes:
+            await node.exchange.close()
+
+    async def test_change_reaches_all_in_time_at_each_size(self) -> None:
+        for count, bound in ((8, 3.0), (32, 6.0), (96, 6.0)):
+            _, nodes = await self.make(count)
+            nodes[3].accept(7)
+            await self.until_revision(nodes, 7, bound)
+            await self.close(nodes)
+
+    async def until_revision(self, nodes: list[Node], revision: int, seconds: float) -> None:
+        await self.until(lambda: all(n.objects.revision == revision for n in nodes), seconds)
+
+    async def test_change_reaches_all_despite_loss(self) -> None:
+        network, nodes = await self.make(8)
+        network.peer_loss = 0.4
+        nodes[0].accept(7)
+        await self.until(lambda: all(node.objects.revision == 7 for node in nodes), 6.0)
+        await self.close(nodes)
+
+    async def test_dead_member_is_found_and_returns(self) -> None:
+        _, nodes = await self.make(8)
+        await nodes[2].exchange.close()
+        rest = nodes[:2] + nodes[3:]
+        await self.until(lambda: all(node.states()["n2"] == MemberState.DEAD for node in rest), 15)
+        again = Node(nodes[0].transport.network, 2, ["n0:p"])
+        again.exchange.incarnation = 2
+        again.exchange.identity = again.exchange.identity._replace(incarnation=2)
+        await again.exchange.start()
+        await self.until(lambda: all(node.states()["n2"] == MemberState.ALIVE for node in rest), 15)
+        await self.close([*rest, again])
+
+    async def test_accused_member_refutes(self) -> None:
+        _, nodes = await self.make(4)
+        member = nodes[0].exchange.members()["n1"]
+        nodes[0].exchange.accuse("n1", member, MemberState.DEAD)
+        await self.until(
+            lambda: all(node.states()["n1"] == MemberState.ALIVE for node in nodes), 10
+        )
+        self.assertEqual(nodes[1].metrics.counters["peer_refutations"], 1)
+        await self.close(nodes)
+
+    async def test_cut_sides_go_on_and_heal(self) -> None:
+        network, nodes = await self.make(8)
+        for other in "bcd":
+            network.cut("a", other)
+        await asyncio.sleep(20)
+        nodes[1].accept(9)
+        await asyncio.sleep(5)
+        inside = [node for node in nodes if node.exchange.identity.failure_domain == "a"]
+        outside = [node for node in nodes if node not in inside]
+        self.assertTrue(all(node.objects.revision == 9 for node in outside))
+        self.assertTrue(all(node.objects.revision == 0 for node in inside))
+        network.heal()
+        await self.until(lambda: all(node.objects.revision == 9 for node in nodes), 15)
+        alive = {MemberState.ALIVE}
+        await self.until(lambda: all(set(n.states().values()) == alive for n in nodes), 15)
+        await self.close(nodes)
+
+    async def test_bad_frames_are_counted_and_change_nothing(self) -> None:
+        _, nodes = await self.make(2)
+        node = nodes[0]
+        good: list[bytes] = []
+        node.exchange.transport.send = lambda address, frame: good.append(frame)
+        node.exchange.send("n1", "n1:p", 1, 5)
+        values = msgspec.msgpack.decode(good[0])
+        foreign = msgspec.msgpack.encode([values[0], "other", *values[2:]])
+        old = msgspec.msgpack.encode([0, *values[1:]])
+        cases = {
+            "empty": (b"", "peer_frames_malformed"),
+            "noise": (bytes(range(256)), "peer_frames_malformed"),
+            "cut short": (good[0][:-3], "peer_frames_malformed"),
+            "forged length": (b"\xdf\xff\xff\xff\xff" + good[0], "peer_frames_malformed"),
+            "nested": (b"\x91" * 100_000, "peer_frames_malformed"),
+            "other cluster": (foreign, "peer_frames_foreign"),
+            "old protocol": (old, "peer_frames_foreign"),
+        }
+        before = dict(node.board.facts)
+        for case, (frame, counter) in cases.items():
+            with self.subTest(case):
+                count = node.metrics.counters[counter]
+                node.exchange.handle_frame(frame)
+                self.assertEqual(node.metrics.counters[counter], count + 1)
+        self.assertEqual(node.board.facts, before)
+        await self.close(nodes)
--- /dev/null
+++ b/libs/peers/tests/test_zmq_transport.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tornado.testing import bind_unused_port
+
+from mimosahoist.core.metrics import Metrics
+from mimosahoist.peers.keys import create_cluster_keys
+from mimosahoist.peers.zmq_transport import ClusterKeys, ZmqPeerTransport
+
+SECONDS = 5.0
+
+
+def free_address() -> str:
+    sock, port = bind_unused_port()
+    sock.close()
+    return f"127.0.0.1:{port}"
+
+
+class ZmqTransportTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.keys = create_cluster_keys()
+        self.received: asyncio.Queue[bytes] = asyncio.Queue()
+        self.address = free_address()
+        self.metrics = Metrics()
+        self.receiver = ZmqPeerTransport(self.address, self.keys, self.metrics)
+        await self.receiver.start(self.received.put_nowait)
+
+    async def asyncTearDown(self) -> None:
+        await self.receiver.close()
+
+    async def sender(self, keys: ClusterKeys) -> ZmqPeerTransport:
+        transport = ZmqPeerTransport(free_address(), keys, Metrics())
+        await transport.start(lambda frame: None)
+        self.addAsyncCleanup(transport.close)
+        return transport
+
+    async def test_member_is_heard(self) -> None:
+        member = await self.sender(self.keys)
+        member.send(self.address, b"hello")
+        self.assertEqual(await asyncio.wait_for(self.received.get(), SECONDS), b"hello")
+
+    async def test_stranger_is_not_heard(self) -> None:
+        other = create_cluster_keys()
+        strangers = {
+            "own keys": other,
+            "knows the public key": ClusterKeys(self.keys.public, other.secret),
+        }
+        for case, keys in strangers.items():
+            with self.subTest(case):
+                stranger = await self.sender(keys)
+                stranger.send(self.address, b"forged")
+        member = await self.sender(self.keys)
+        member.send(self.address, b"hello")
+        self.assertEqual(await asyncio.wait_for(self.received.get(), SECONDS), b"hello")
+        self.assertTrue(self.received.empty())
--- /dev/null
+++ b/libs/platform/tests/test_store_contract.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tornado.testing import bind_unused_port
+
+from mimosahoist.core.problem import Problem, ProblemKind
+from mimosahoist.lab.platform_model import PlatformModel
+from mimosahoist.lab.platform_server import create_platform_server
+from mimosahoist.platform.http_store import HttpPlatformStore
+from mimosahoist.platform.store import PlatformStore
+
+KEY = "organisation/a"
+
+
+class StoreContract:
+    """Cases that every store must pass; run directly and over HTTP."""
+
+    store: PlatformStore
+    model: PlatformModel
+
+    async def assert_problem(self, kind: ProblemKind, work: object) -> None:
+        with self.assertRaises(Problem) as caught:
+            await work
+        self.assertIs(caught.exception.kind, kind)
+
+    async def test_create_read_update(self) -> None:
+        created = await self.store.put(KEY, {"n": 1}, 0)
+        updated = await self.store.put(KEY, {"n": 2}, created.version)
+        self.assertGreater(updated.version, created.version)
+        self.assertEqual((await self.store.get(KEY)).value, {"n": 2})
+
+    async def test_missing_object_is_none(self) -> None:
+        self.assertIsNone(await self.store.get("organisation/none"))
+
+    async def test_stale_version_conflicts_and_changes_nothing(self) -> None:
+        first = await self.store.put(KEY, {"n": 1}, 0)
+        await self.store.put(KEY, {"n": 2}, first.version)
+        await self.assert_problem(
+            ProblemKind.CONFLICT, self.store.put(KEY, {"n": 3}, first.version)
+        )
+        await self.assert_problem(ProblemKind.CONFLICT, self.store.put(KEY, {"n": 3}, 0))
+        self.assertEqual((await self.store.get(KEY)).value, {"n": 2})
+
+    async def test_deleted_object_can_be_created_again(self) -> None:
+        first = await self.store.put(KEY, {"n": 1}, 0)
+        await self.store.put(KEY, None, first.version)
+        self.assertIsNone(await self.store.get(KEY))
+        again = await self.store.put(KEY, {"n": 2}, 0)
+        self.assertGreater(again.version, first.version)
+
+    async def test_changes_hold_all_after_a_revision(self) -> None:
+        first = await self.store.put(KEY, {"n": 1}, 0)
+        second = await self.store.put("organisation/b", {"n": 2}, 0)
+        changes = await self.store.changes("objects", first.version, 0.0)
+        self.assertEqual([item.key for item in changes.objects], ["organisation/b"])
+        self.assertEqual(changes.revision, second.version)
+
+    async def test_waiting_watch_gets_the_next_change(self) -> None:
+        watch = asyncio.create_task(self.store.changes("objects", 0, 5.0))
+        await asyncio.sleep(0.05)
+        await self.store.put(KEY, {"n": 1}, 0)
+        self.assertEqual((await watch).objects[0].key, KEY)
+
+    async def test_records_are_not_watched(self) -> None:
+        await self.store.put("idempotency/x", {"n": 1}, 0)
+        changes = await self.store.changes("objects", 0, 0.0)
+        self.assertEqual(changes.objects, [])
+
+    async def test_lost_answer_has_taken_effect(self) -> None:
+        self.model.faults.lost_answer_rate = 1.0
+        await self.assert_problem(ProblemKind.STORE, self.store.put(KEY, {"n": 1}, 0))
+        self.assertEqual((await self.store.get(KEY)).value, {"n": 1})
+
+    async def test_outage_is_a_typed_problem(self) -> None:
+        self.model.set_down(True)
+        for work in (
+            self.store.get(KEY),
+            self.store.put(KEY, {}, 0),
+            self.store.changes("objects", 0, 0.0),
+        ):
+            await self.assert_problem(ProblemKind.STORE, work)
+
+
+class ModelStoreTest(StoreContract, unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.model = PlatformModel(1)
+        self.store = self.model
+
+
+class HttpStoreTest(StoreContract, unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.model = PlatformModel(1)
+        self.server = create_platform_server(self.model)
+        sock, port = bind_unused_port()
+        self.server.add_socket(sock)
+        self.store = HttpPlatformStore(f"http://127.0.0.1:{port}")
+        await self.store.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.store.close()
+        self.server.stop()
+        await self.server.close_all_connections()
