--- a/libs/entry/src/mimosahoist/entry/directory.py
+++ b/libs/entry/src/mimosahoist/entry/directory.py
@@ -151,8 +151,7 @@
         service.pool.spec = spec
         for upstream in service.pool.upstreams.values():
             upstream.spec = spec
-            upstream.ramp.cold = spec["cold_concurrency"]
-            upstream.ramp.full = spec["slots"] + spec["queue"]
+            upstream.ramp.set_bounds(spec["cold_concurrency"], spec["slots"] + spec["queue"])
             upstream.limit_inputs = None
         if service.route.source == service.route.target:
             version = spec["version"]
--- /dev/null
+++ b/libs/lab/src/mimosahoist/lab/capacity.py
@@ -0,0 +1,4 @@
+"""placeholder."""
+
+
+def command(arguments): ...
--- a/libs/lab/src/mimosahoist/lab/demo.py
+++ b/libs/lab/src/mimosahoist/lab/demo.py
@@ -28,7 +28,7 @@
     """Run the demo; return the exit code."""
     started = time.monotonic()
     failures = 0
-    for number, deployment in enumerate(sizes.DEPLOYMENTS.values()):
+    for number, deployment in enumerate(sizes.USERS):
         port = arguments.base_port + number * sizes.PORTS_PER_DEPLOYMENT
         failures += await run_deployment(deployment, port, arguments)
     print(f"\ndone in {time.monotonic() - started:.0f} s, {failures} checks failed")
--- a/libs/lab/src/mimosahoist/lab/deployment.py
+++ b/libs/lab/src/mimosahoist/lab/deployment.py
@@ -69,7 +69,11 @@
         ServiceSize("orders", "run", 1, 4, 3, 110, 1.0, 3.0),
     ),
 )
-DEPLOYMENTS = {item.organisation: item for item in (TIDY_BOTHY, LANTERN_GRID)}
+WIDE = Deployment(
+    "wide", "coverage", (ServiceSize("wide-search", "search", 93, 1, 4, 35, 6.0, 4.0),)
+)
+USERS = (TIDY_BOTHY, LANTERN_GRID)
+DEPLOYMENTS = {item.organisation: item for item in (*USERS, SMALL, WIDE)}
 
 
 def searcher_specs(deployment: Deployment, version: str = "v1") -> list[SearcherSpec]:
--- a/libs/lab/src/mimosahoist/lab/launcher.py
+++ b/libs/lab/src/mimosahoist/lab/launcher.py
@@ -14,7 +14,10 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from mimosahoist.lab import deployment as sizes
+from mimosahoist.lab.process_usage import ProcessUsage, read_usage
 from mimosahoist.peers.keys import create_cluster_keys
+from mimosahoist.platform.http_store import HttpPlatformStore
+from mimosahoist.platform.kinds import failure_domain_key, organisation_key
 
 READY_SECONDS = 60.0
 POLL_SECONDS = 0.1
@@ -90,6 +93,16 @@
         body = {"name": name, "record": record}
         await self.post(f"{self.platform_url}/lab/instance", body)
 
+    async def declare(self) -> None:
+        """Store the organisation and the failure domains, as declarations would."""
+        store = HttpPlatformStore(self.platform_url)
+        await store.start()
+        value = sizes.organisation_object(self.deployment)
+        await store.put(organisation_key(self.deployment.organisation), value, 0)
+        for domain in sizes.FAILURE_DOMAINS:
+            await store.put(failure_domain_key(domain), {"name": domain, "out": False}, 0)
+        await store.close()
+
     async def start_entries(self, count: int = sizes.ENTRIES) -> None:
         """Start entry instances and wait until all are ready."""
         for number in range(count):
@@ -191,6 +204,20 @@
             )
         )
 
+    async def metrics(self, number: int) -> dict[str, float]:
+        """Counters of an entry instance."""
+        address = self.entry_address(number, sizes.ENTRY_ADMIN_OFFSET)
+        response = await self.client.fetch(HTTPRequest(f"http://{address}/metrics"))
+        values = {}
+        for line in response.body.decode().splitlines():
+            name, _, value = line.rpartition(" ")
+            values[name.removeprefix("mimosahoist_")] = float(value)
+        return values
+
+    def usage(self, name: str) -> ProcessUsage:
+        """Processor time and memory of a process so far."""
+        return read_usage(self.processes[name].pid)
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that was started here."""
         self.processes[name].send_signal(number)
--- a/libs/lab/src/mimosahoist/lab/main.py
+++ b/libs/lab/src/mimosahoist/lab/main.py
@@ -10,8 +10,8 @@
 
 from absl import logging
 
+from mimosahoist.lab import capacity, measure, soak
 from mimosahoist.lab import deployment as sizes
-from mimosahoist.lab import soak
 from mimosahoist.lab.demo import demo
 from mimosahoist.lab.platform_model import PlatformModel
 from mimosahoist.lab.platform_server import create_platform_server
@@ -73,7 +73,16 @@
     soaked.add_argument("--deployment", choices=sorted(sizes.DEPLOYMENTS), default="tidy-bothy")
     soaked.add_argument("--seconds", type=float, default=60.0)
     soaked.set_defaults(command=soak.command)
-    for subparser in (platform, searchers, shown, soaked):
+    measured = subparsers.add_parser("measure", help="measure all targets")
+    measured.add_argument("--output", default="measurements/measure.json")
+    measured.set_defaults(command=measure.command)
+    job = subparsers.add_parser("measure-job", help="run one measurement")
+    job.add_argument("name", choices=measure.JOB_NAMES)
+    job.set_defaults(plain=measure.print_job)
+    sized = subparsers.add_parser("capacity", help="measure the slopes of docs/CAPACITY.md")
+    sized.add_argument("--output", default="measurements/capacity.json")
+    sized.set_defaults(plain=capacity.command)
+    for subparser in (platform, searchers, shown, soaked, measured, job, sized):
         subparser.add_argument("--seed", type=int, default=DEFAULT_SEED)
     return parser
 
@@ -82,6 +91,8 @@
     """Run a command."""
     arguments = build_parser().parse_args()
     logging.set_verbosity(logging.WARNING)
+    if "plain" in arguments:
+        sys.exit(arguments.plain(arguments))
     sys.exit(asyncio.run(arguments.command(arguments)))
 
 
--- a/libs/lab/src/mimosahoist/lab/measure.py
+++ b/libs/lab/src/mimosahoist/lab/measure.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import subprocess
+import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple, TypedDict
 
@@ -111,8 +112,6 @@
 
 async def spawn_job(name: str, seed: int) -> dict[str, Any]:
     """Run a job in a process of its own and read its result."""
-    import sys
-
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
--- a/libs/lab/src/mimosahoist/lab/measure_query.py
+++ b/libs/lab/src/mimosahoist/lab/measure_query.py
@@ -127,9 +127,7 @@
     cases = [
         await measured_case("no stragglers", seed, Features(), lambda fleet: None),
         await measured_case("stragglers, hedging", seed, Features(), straggle),
-        await measured_case(
-            "stragglers, no hedging", seed, Features(hedging=False), straggle
-        ),
+        await measured_case("stragglers, no hedging", seed, Features(hedging=False), straggle),
     ]
     return {
         "cases": cases,
--- a/libs/peers/src/mimosahoist/peers/feed.py
+++ b/libs/peers/src/mimosahoist/peers/feed.py
@@ -78,7 +78,7 @@
             await asyncio.sleep(PEERS_FIRST_SECONDS)
         retry = RETRY_SECONDS
         while True:
-            if copy.revision > 0 and not self.is_watcher():
+            if not self.is_watcher():
                 await asyncio.sleep(ROLE_CHECK_SECONDS)
                 continue
             if await self.watch(collection, copy):
--- a/libs/query/src/mimosahoist/query/plan.py
+++ b/libs/query/src/mimosahoist/query/plan.py
@@ -5,6 +5,8 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -12,10 +14,14 @@
 
 
 class ShardGroup(NamedTuple):
-    """Shards that the same upstreams hold; one call asks for all of them."""
+    """Shards that the same upstreams hold; one call asks for all of them.
+
+    `encoded` is the JSON form of `shards`.
+    """
 
     shards: list[int]
     upstreams: list[Upstream]
+    encoded: bytes = b""
 
 
 class Plan(NamedTuple):
@@ -92,4 +98,7 @@
         key = tuple(sorted(upstream.name for upstream in owners))
         grouped.setdefault(key, ShardGroup([], owners)).shards.append(shard)
     unheld = [shard for shard in range(holding.total) if shard not in holding.owners]
-    return Plan(snapshot, holding.total, list(grouped.values()), unheld)
+    groups = [
+        group._replace(encoded=msgspec.json.encode(group.shards)) for group in grouped.values()
+    ]
+    return Plan(snapshot, holding.total, groups, unheld)
--- a/libs/query/src/mimosahoist/query/search.py
+++ b/libs/query/src/mimosahoist/query/search.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -230,9 +232,17 @@
 
 
 def merge_hits(hits: list[Hit], limit: int, offset: int) -> list[Hit]:
-    """Best hits by score; equal scores are ordered by id."""
-    hits.sort(key=lambda hit: (-hit[0], hit[1]))
-    return hits[offset : offset + limit]
+    """Best hits by score; equal scores are ordered by id.
+
+    Only hits that reach the last wanted score are sorted, as most of many shards' hits do not.
+    """
+    wanted = limit + offset
+    if len(hits) > wanted:
+        last = heapq.nlargest(wanted, [hit[0] for hit in hits])[-1]
+        hits = [hit for hit in hits if hit[0] >= last]
+    hits.sort(key=itemgetter(1))
+    hits.sort(key=itemgetter(0), reverse=True)
+    return hits[offset:wanted]
 
 
 def no_snapshot() -> Problem:
--- a/libs/query/src/mimosahoist/query/shard_task.py
+++ b/libs/query/src/mimosahoist/query/shard_task.py
@@ -123,11 +123,10 @@
             self.handle_done,
         )
         self.open_calls[request] = call
-        span = self.service.traces.child(
-            search.request.span, "shard-call", upstream=upstream.name, attempt=self.attempts
-        )
-        if span is not None:
-            self.spans[request] = span
+        if search.request.span is not None:
+            self.spans[request] = self.service.traces.child(
+                search.request.span, "shard-call", upstream=upstream.name, attempt=self.attempts
+            )
         self.service.metrics.count("shard_calls")
         upstream.submit(call)
 
@@ -138,7 +137,7 @@
         return b"".join(
             (
                 search.encoded_prefix,
-                msgspec.json.encode(self.group.shards),
+                self.group.encoded,
                 b',"request":"%s","deadline_ms":%d}' % (request.encode(), remaining),
             )
         )
@@ -160,7 +159,8 @@
     def handle_done(self, call: Call) -> None:
         """Take the outcome of an attempt."""
         del self.open_calls[call.request]
-        tracing.finish(self.spans.pop(call.request, None), outcome=type(call.outcome).__name__)
+        if self.spans:
+            tracing.finish(self.spans.pop(call.request), outcome=type(call.outcome).__name__)
         alone = self.release_reserved()
         if isinstance(call.outcome, ExchangeFailure):
             self.handle_failure(call, call.outcome, alone)
@@ -239,9 +239,12 @@
 
     def note(self, call: Call, failed: bool) -> None:
         """Record how an exchange went for moves between versions."""
-        self.service.note_evidence(
-            CallEvidence(call.upstream.version, self.search.request.route, failed, call.comparable)
-        )
+        service = self.service
+        if service.evidence_listeners:
+            route = self.search.request.route
+            service.note_evidence(
+                CallEvidence(call.upstream.version, route, failed, call.comparable)
+            )
 
     def retry(self, reason: str) -> None:
         """Try another upstream if budget, attempts and time allow."""
--- a/libs/upstream/src/mimosahoist/upstream/curl_transport.py
+++ b/libs/upstream/src/mimosahoist/upstream/curl_transport.py
@@ -22,6 +22,7 @@
 MAX_CACHED_CONNECTIONS = 20_000
 CONNECT_TIMEOUT_MS = 1000
 MILLISECONDS = 1000
+TIMEOUT_STEP_MS = 10
 HEADERS = ["Content-Type: application/json", "Expect:", "Accept:", "User-Agent:"]
 CONNECT_ERRORS = {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
 
@@ -175,6 +176,7 @@
         self.base = f"http://{address}"
         self.path = ""
         self.method = ""
+        self.timeout_ms = 0
         self.chunks: list[bytes] = []
         self.future: asyncio.Future[Reply] | None = None
         self.easy = pycurl.Curl()
@@ -189,6 +191,7 @@
         easy.setopt(pycurl.HTTPHEADER, HEADERS)
         easy.setopt(pycurl.PROXY, "")
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        easy.setopt(pycurl.WRITEFUNCTION, self.chunks.append)
         easy.setopt(pycurl.SOCKOPTFUNCTION, self.handle_opened)
         if fresh:
             easy.setopt(pycurl.FRESH_CONNECT, 1)
@@ -205,13 +208,19 @@
             self.path = path
             easy.setopt(pycurl.URL, self.base + path)
         self.set_body(body)
-        easy.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout * MILLISECONDS)))
-        self.chunks = []
-        easy.setopt(pycurl.WRITEFUNCTION, self.chunks.append)
+        self.set_timeout(timeout)
+        self.chunks.clear()
         self.future = self.transport.loop.create_future()
         self.transport.multi.add_handle(easy)
         return self.future
 
+    def set_timeout(self, timeout: float) -> None:
+        """Set the timeout, rounded up, if it differs from the one set."""
+        milliseconds = (int(timeout * MILLISECONDS) // TIMEOUT_STEP_MS + 1) * TIMEOUT_STEP_MS
+        if milliseconds != self.timeout_ms:
+            self.timeout_ms = milliseconds
+            self.easy.setopt(pycurl.TIMEOUT_MS, milliseconds)
+
     def set_body(self, body: bytes) -> None:
         """Set method and body."""
         method = "POST" if body else "GET"
--- a/libs/upstream/src/mimosahoist/upstream/ramp.py
+++ b/libs/upstream/src/mimosahoist/upstream/ramp.py
@@ -9,6 +9,7 @@
 SLOW_FACTOR = 2.5
 SLOW_REPLIES_BEFORE_RESET = 4
 RESET_HOLD_SECONDS = 1.0
+MAX_DOUBLINGS = 16
 
 
 class RampState(NamedTuple):
@@ -35,28 +36,31 @@
     """
 
     def __init__(self, cold: int, full: int) -> None:
-        self.cold = cold
-        self.full = full
         self.state = RampState(0, 0, 0)
         self.successes = 0
         self.slow_replies = 0
         self.entered_at = 0.0
+        self.total = 0
+        self.warm = False
+        self.set_bounds(cold, full)
 
-    @property
-    def total(self) -> int:
-        """Concurrency that all instances together may use now."""
-        return min(self.full, self.cold << min(self.state.stage, 16))
+    def set_bounds(self, cold: int, full: int) -> None:
+        """Take the concurrency that the upstream bears when cold and when warm."""
+        self.cold = cold
+        self.full = full
+        self.update_total()
 
-    @property
-    def warm(self) -> bool:
-        """Whether the slow start is over."""
-        return self.total >= self.full
+    def update_total(self) -> None:
+        """Compute the concurrency that all instances together may use in this stage."""
+        self.total = min(self.full, self.cold << min(self.state.stage, MAX_DOUBLINGS))
+        self.warm = self.total >= self.full
 
     def adopt(self, state: RampState, now: float) -> bool:
         """Join a state learned from elsewhere; true if it was later."""
         if state <= self.state:
             return False
         self.state = state
+        self.update_total()
         self.successes = 0
         self.slow_replies = 0
         self.entered_at = now
--- a/libs/upstream/src/mimosahoist/upstream/upstream.py
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -39,7 +39,7 @@
 RETIRE_POLL_SECONDS = 0.05
 
 
-@dataclass
+@dataclass(slots=True)
 class Call:
     """One exchange on behalf of a request.
 
@@ -161,20 +161,18 @@
     def available(self, at: float) -> bool:
         """Whether new work may go to this upstream at all."""
         return (
-            not self.closed
-            and not self.unsure
-            and at < self.shares.valid_until
-            and not self.listed_leaving
-            and not self.reported_draining
+            not (self.closed or self.unsure or self.listed_leaving or self.reported_draining)
+            and self.shares.valid_until > at >= self.health.ejected_until
             and self.failure_domain not in self.pool.domains_out
-            and self.health.available(at)
         )
 
     def has_room(self, at: float) -> bool:
         """Whether one more call may be sent now."""
+        if self.exclusive_for is not None:
+            return False
         if self.lingering:
             self.expire_lingering(at)
-        return self.exclusive_for is None and self.in_flight < self.limit and self.available(at)
+        return self.in_flight < self.limit and self.available(at)
 
     def reserve(self, request: str, at: float) -> bool:
         """Keep the upstream free for one request; true once nothing else is in flight.
@@ -228,7 +226,7 @@
 
     async def serve_call(self, connection: Connection, call: Call) -> None:
         """Exchange one call and account for its outcome."""
-        timeout = call.deadline - now() + SILENCE_GRACE
+        timeout = call.deadline - call.started + SILENCE_GRACE
         try:
             call.outcome = await connection.exchange(call.path, call.body, max(timeout, 0.001))
         except ExchangeFailure as failure:
@@ -237,7 +235,7 @@
             call.outcome = ExchangeFailure(FailureKind.ABANDONED, True)
             call.done(call)
             raise
-        at = now()
+        at = asyncio.get_running_loop().time()
         call.elapsed = at - call.started
         self.in_flight -= 1
         if isinstance(call.outcome, Reply):
@@ -275,7 +273,7 @@
 
     def observe(self, call: Call, reported_warm: bool, incarnation: int) -> None:
         """Learn from an answer about warmth and restarts."""
-        at = now()
+        at = call.started + call.elapsed
         if self.ramp.restart(incarnation, at):
             self.publish_ramp("new incarnation")
         if call.comparable is not None:
@@ -283,7 +281,8 @@
         if self.ramp.looks_cold(reported_warm) and self.ramp.reset(at):
             self.metrics.count("cold_again")
             self.publish_ramp("cold again")
-        self.promote_if_leading(at)
+        if not self.ramp.warm:
+            self.promote_if_leading(at)
 
     def observe_latency(self, elapsed: float, reported_warm: bool) -> None:
         """Hold an answer's latency against that of the service's warm upstreams."""
