--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -92,6 +92,8 @@
         self.acks: dict[int, asyncio.Future[None]] = {}
         self.progress = ProgressTable(identity.incarnation, board, objects, instances)
         self.rounds: list[str] = []
+        self.cached_members: dict[str, Member] = {}
+        self.cached_at = -1
         self.health_penalty = 0
         self.dead_countdown = DEAD_PROBE_ROUNDS
         self.last_contact = 0.0
@@ -141,9 +143,14 @@
         self.board.publish(key, [self.identity.incarnation, revision])
 
     def members(self) -> dict[str, Member]:
-        """All known members by instance name, this one included."""
-        start = len(MEMBER_PREFIX)
-        return {key[start:]: Member(*value) for key, value in self.board.values(MEMBER_PREFIX)}
+        """All known members by instance name, this one included; not to be changed."""
+        if self.cached_at != self.board.changes[MEMBER_PREFIX]:
+            self.cached_at = self.board.changes[MEMBER_PREFIX]
+            start = len(MEMBER_PREFIX)
+            self.cached_members = {
+                key[start:]: Member(*value) for key, value in self.board.values(MEMBER_PREFIX)
+            }
+        return self.cached_members
 
     def reachable_peers(self) -> dict[str, Member]:
         """Members other than this one that are alive or suspect."""
--- a/libs/peers/src/mimosahoist/peers/facts.py
+++ b/libs/peers/src/mimosahoist/peers/facts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from mimosahoist.core.tasks import unix_time
@@ -48,12 +49,21 @@
 
 
 class FactBoard:
-    """All facts known here; changes are numbered so that peers get only what is new."""
+    """All facts known here; changes are numbered so that peers get only what is new.
+
+    Attributes
+    ----------
+    facts : dict
+        Held facts in the order of their last change.
+    changes : Counter
+        Number of changes by a kind's prefix.
+    """
 
     def __init__(self) -> None:
         self.kinds: list[FactKind] = []
         self.listeners: dict[str, Callable[[str, Any], None]] = {}
         self.facts: dict[str, HeldFact] = {}
+        self.changes: Counter[str] = Counter()
         self.sequence = 0
         self.urgent_listeners: list[Callable[[], None]] = []
 
@@ -92,20 +102,24 @@
     def join(self, key: str, value: Any) -> bool:
         """Join a value; true if the held one changed."""
         held = self.facts.get(key)
-        joined = value if held is None else self.kind_of(key).join(held.value, value)
+        kind = self.kind_of(key)
+        joined = value if held is None else kind.join(held.value, value)
         if held is not None and joined == held.value:
             return False
         self.sequence += 1
+        self.facts.pop(key, None)
         self.facts[key] = HeldFact(joined, self.sequence)
+        self.changes[kind.prefix] += 1
         return True
 
     def since(self, sequence: int) -> list[Fact]:
         """Facts that changed after a local sequence number."""
-        if sequence >= self.sequence:
-            return []
-        return [
-            Fact(key, held.value) for key, held in self.facts.items() if held.sequence > sequence
-        ]
+        newer = []
+        for key, held in reversed(self.facts.items()):
+            if held.sequence <= sequence:
+                break
+            newer.append(Fact(key, held.value))
+        return newer
 
     def values(self, prefix: str) -> Iterator[tuple[str, Any]]:
         """Facts whose keys start with `prefix`."""
@@ -126,3 +140,4 @@
         ]
         for key in expired:
             del self.facts[key]
+            self.changes[self.kind_of(key).prefix] += 1
