--- a/libs/upstream/src/mimosahoist/upstream/upstream.py
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -333,11 +333,16 @@
                 self.take_status(reply)
             if self.needs_warm_up():
                 await self.warm_up()
-            self.refresh.clear()
-            try:
-                await asyncio.wait_for(self.refresh.wait(), self.poll_interval())
-            except TimeoutError:
-                continue
+            await self.rest()
+
+    async def rest(self) -> None:
+        """Wait for the time of the next poll, or until someone wants one at once."""
+        self.refresh.clear()
+        timer = asyncio.get_running_loop().call_later(self.poll_interval(), self.refresh.set)
+        try:
+            await self.refresh.wait()
+        finally:
+            timer.cancel()
 
     def needs_warm_up(self) -> bool:
         """Whether it is this instance's task to gather evidence of warmth."""
