Tasks that miss a cancellation are cancelled again

Cause: asyncio.wait_for can swallow a cancellation that comes as its future completes; closing a peer then waited for ever (seen with 8 peers on loopback).

--- a/libs/core/src/mimosahoist/core/tasks.py
+++ b/libs/core/src/mimosahoist/core/tasks.py
@@ -12,6 +12,9 @@
     from collections.abc import Coroutine
 
 
+CANCEL_REPEAT_SECONDS = 0.2
+
+
 class TaskSet:
     """Tasks of one owner, cancelled together on close."""
 
@@ -32,12 +35,15 @@
             json_log.change("task failed", task=task.get_name(), error=repr(task.exception()))
 
     async def close(self) -> None:
-        """Cancel all tasks and wait for them, also for those that they start meanwhile."""
+        """Cancel all tasks and wait for them, also for those that they start meanwhile.
+
+        A task can miss a cancellation that comes as its `wait_for` ends, so it is repeated.
+        """
         while self.tasks:
             remaining = list(self.tasks)
             for task in remaining:
                 task.cancel()
-            await asyncio.gather(*remaining, return_exceptions=True)
+            await asyncio.wait(remaining, timeout=CANCEL_REPEAT_SECONDS)
 
 
 def now() -> float:
--- /dev/null
+++ b/libs/core/tests/test_tasks.py
@@ -0,0 +1,37 @@
+from __future__ import annotations
+
+import asyncio
+
+from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.lab.paused_loop import PausedTestCase
+
+
+class TaskSetTest(PausedTestCase):
+    async def test_task_that_misses_a_cancellation_is_cancelled_again(self) -> None:
+        tasks = TaskSet()
+
+        async def stubborn() -> None:
+            try:
+                await asyncio.sleep(100)
+            except asyncio.CancelledError:
+                await asyncio.sleep(100)
+
+        tasks.spawn(stubborn(), "stubborn")
+        await asyncio.sleep(0)
+        await tasks.close()
+        self.assertEqual(tasks.tasks, set())
+        self.assertLess(now(), 100)
+
+    async def test_task_started_while_closing_is_cancelled_too(self) -> None:
+        tasks = TaskSet()
+
+        async def parent() -> None:
+            try:
+                await asyncio.sleep(100)
+            finally:
+                tasks.spawn(asyncio.sleep(100), "child")
+
+        tasks.spawn(parent(), "parent")
+        await asyncio.sleep(0)
+        await tasks.close()
+        self.assertEqual(tasks.tasks, set())
--- a/libs/lab/src/mimosahoist/lab/capacity.py
+++ b/libs/lab/src/mimosahoist/lab/capacity.py
@@ -218,6 +218,7 @@
 
 def command(arguments: argparse.Namespace) -> int:
     """Command ``mimosahoist-lab capacity``: measure, write the figures, plots and the page."""
+    print("measuring costs of real processes, memory, then peers by number", flush=True)
     upstreams = {str(count): run_paused(upstream_memory(count)) for count in UPSTREAM_COUNTS}
     figures = {
         "commit": commit(),
