--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -25,6 +24,7 @@
     MemberState,
     ObservedFacts,
 )
+from mimosahoist.peers.prober import ACK_TIMEOUT, PROBE_INTERVAL, Prober
 from mimosahoist.peers.progress import Position, ProgressTable
 
 if TYPE_CHECKING:
@@ -38,14 +38,8 @@
     from mimosahoist.platform.store import Changes
     from mimosahoist.platform.versioned import VersionedCopy
 
-PROBE_INTERVAL = 0.5
-ACK_TIMEOUT = 0.25
-INDIRECT_PROBES = 2
-SUSPICION_SECONDS = 3.0
 URGENT_FANOUT = 3
 PRUNE_ROUNDS = 10
-DEAD_PROBE_ROUNDS = 4
-MAX_HEALTH_PENALTY = 4
 
 
 class Identity(NamedTuple):
@@ -88,14 +82,10 @@
         self.rng = rng
         self.seeds = seeds
         self.tasks = TaskSet()
-        self.numbers = itertools.count(1)
-        self.acks: dict[int, asyncio.Future[None]] = {}
+        self.prober = Prober(self)
         self.progress = ProgressTable(identity.incarnation, board, objects, instances)
-        self.rounds: list[str] = []
         self.cached_members: dict[str, Member] = {}
         self.cached_at = -1
-        self.health_penalty = 0
-        self.dead_countdown = DEAD_PROBE_ROUNDS
         self.last_contact = 0.0
         self.push_scheduled = False
         self.member_listeners: list[Callable[[str, Member], None]] = []
@@ -110,7 +100,7 @@
         self.last_contact = now()
         await self.transport.start(self.handle_frame)
         self.publish_self(MemberState.ALIVE)
-        self.tasks.spawn(self.probe_members(), "probe members")
+        self.tasks.spawn(self.prober.run(), "probe members")
         self.tasks.spawn(self.prune(), "prune facts")
 
     async def leave(self) -> None:
@@ -173,118 +163,6 @@
             addresses = {f"seed {seed}": seed for seed in self.seeds}
         return {name: at for name, at in addresses.items() if at != own.peer_address}
 
-    async def probe_members(self) -> None:
-        """Probe one member an interval, each once a round in random order."""
-        while True:
-            started = now()
-            addresses = self.peer_addresses()
-            self.rounds = [name for name in self.rounds if name in addresses]
-            if not self.rounds:
-                self.rounds = list(addresses)
-                self.rng.shuffle(self.rounds)
-            if self.rounds:
-                name = self.rounds.pop()
-                await self.probe(name, addresses[name], addresses)
-            self.bury_suspects()
-            await self.probe_dead()
-            await asyncio.sleep(max(0.01, started + PROBE_INTERVAL - now()))
-
-    async def probe_dead(self) -> None:
-        """Ping a dead member now and then, as two sides of a healed cut call each other dead."""
-        self.dead_countdown -= 1
-        if self.dead_countdown > 0:
-            return
-        self.dead_countdown = DEAD_PROBE_ROUNDS
-        dead = [
-            (name, member.peer_address)
-            for name, member in self.members().items()
-            if member.state == MemberState.DEAD and name != self.identity.instance
-        ]
-        if dead:
-            name, address = self.rng.choice(dead)
-            await self.ping(name, address, ACK_TIMEOUT)
-
-    async def probe(self, name: str, address: str, addresses: dict[str, str]) -> None:
-        """Probe a member directly, then through others; suspect it if none gets an answer."""
-        timeout = ACK_TIMEOUT * (1 + self.health_penalty)
-        if await self.ping(name, address, timeout):
-            self.health_penalty = max(0, self.health_penalty - 1)
-            return
-        self.health_penalty = min(MAX_HEALTH_PENALTY, self.health_penalty + 1)
-        self.metrics.count("peer_probes_missed")
-        others = [other for other in addresses if other != name]
-        helpers = self.rng.sample(others, min(INDIRECT_PROBES, len(others)))
-        if helpers and await self.ping_through(name, helpers, addresses, timeout):
-            return
-        member = self.members().get(name) or self.listed_member(name)
-        if member is not None and member.state == MemberState.ALIVE:
-            self.accuse(name, member, MemberState.SUSPECT)
-
-    def listed_member(self, name: str) -> Member | None:
-        """Record for an instance that the platform lists but that no member has heard of."""
-        listed = self.instances.value(name)
-        if listed is None:
-            return None
-        return Member(
-            0,
-            int(MemberState.ALIVE),
-            listed["peer_address"],
-            listed["address"],
-            listed["failure_domain"],
-            unix_time(),
-        )
-
-    async def ping(self, name: str, address: str, timeout: float) -> bool:
-        """Send a ping; true if it is answered in time."""
-        number = next(self.numbers)
-        answered = asyncio.get_running_loop().create_future()
-        self.acks[number] = answered
-        self.send(name, address, FrameKind.PING, number)
-        try:
-            await asyncio.wait_for(answered, timeout)
-        except TimeoutError:
-            return False
-        finally:
-            del self.acks[number]
-        return True
-
-    async def ping_through(
-        self, name: str, helpers: list[str], addresses: dict[str, str], timeout: float
-    ) -> bool:
-        """Ask others to ping a member; true if one of them had an answer."""
-        number = next(self.numbers)
-        answered = asyncio.get_running_loop().create_future()
-        self.acks[number] = answered
-        for helper in helpers:
-            self.send(helper, addresses[helper], FrameKind.PING_REQUEST, number, target=name)
-        try:
-            await asyncio.wait_for(answered, 2 * timeout)
-        except TimeoutError:
-            return False
-        finally:
-            del self.acks[number]
-        return True
-
-    async def relay_ping(self, frame: Frame) -> None:
-        """Ping a member for another one and pass the answer on."""
-        address = self.peer_addresses().get(frame.target)
-        if address is not None and await self.ping(frame.target, address, ACK_TIMEOUT):
-            self.send(frame.sender, frame.peer_address, FrameKind.ACK, frame.number)
-
-    def accuse(self, name: str, member: Member, state: MemberState) -> None:
-        """Declare a member suspect or dead."""
-        record = member._replace(state=int(state), since=unix_time())
-        self.board.publish(MEMBER_PREFIX + name, list(record), urgent=True)
-        self.tell_listeners(name, record)
-
-    def bury_suspects(self) -> None:
-        """Declare dead who stayed suspect for too long."""
-        patience = SUSPICION_SECONDS * (1 + self.health_penalty)
-        for name, member in self.members().items():
-            suspected = member.state == MemberState.SUSPECT
-            if suspected and unix_time() - member.since > patience:
-                self.accuse(name, member, MemberState.DEAD)
-
     def handle_member(self, key: str, value: Any) -> None:
         """React to a member record learned from a peer."""
         name = key[len(MEMBER_PREFIX) :]
@@ -299,7 +177,7 @@
         if member.state == MemberState.ALIVE or member.state == MemberState.LEFT:
             return
         self.metrics.count("peer_refutations")
-        self.health_penalty = min(MAX_HEALTH_PENALTY, self.health_penalty + 1)
+        self.prober.raise_penalty()
         self.incarnation = member.incarnation + 1
         self.publish_self(MemberState.ALIVE)
 
@@ -396,15 +274,13 @@
             lacking = self.progress.position_of(frame.digest)
             self.send(frame.sender, frame.peer_address, FrameKind.ACK, frame.number, lacking)
         elif frame.kind == FrameKind.PING_REQUEST:
-            self.tasks.spawn(self.relay_ping(frame), "relay ping")
+            self.tasks.spawn(self.prober.relay_ping(frame), "relay ping")
         elif frame.kind == FrameKind.ACK:
             self.handle_ack(frame)
 
     def handle_ack(self, frame: Frame) -> None:
         """Resolve the probe and send the other side what it lacks."""
-        waiting = self.acks.get(frame.number)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(None)
+        self.prober.handle_ack(frame.number)
         if self.progress.lacks_something(frame.digest):
             lacking = self.progress.position_of(frame.digest)
             self.send(frame.sender, frame.peer_address, FrameKind.PUSH, 0, lacking)
--- a/libs/peers/tests/test_exchange.py
+++ b/libs/peers/tests/test_exchange.py
@@ -98,7 +98,7 @@
     async def test_accused_member_refutes(self) -> None:
         _, nodes = await self.make(4)
         member = nodes[0].exchange.members()["n1"]
-        nodes[0].exchange.accuse("n1", member, MemberState.DEAD)
+        nodes[0].exchange.prober.accuse("n1", member, MemberState.DEAD)
         await self.until(
             lambda: all(node.states()["n1"] == MemberState.ALIVE for node in nodes), 10
         )
--- a/libs/query/src/mimosahoist/query/run.py
+++ b/libs/query/src/mimosahoist/query/run.py
@@ -14,8 +14,8 @@
 from mimosahoist.query.request import RunRequest, RunResult
 from mimosahoist.query.service import CallEvidence
 from mimosahoist.upstream import messages
+from mimosahoist.upstream.call import Call
 from mimosahoist.upstream.transport import ExchangeFailure, FailureKind, Reply
-from mimosahoist.upstream.upstream import Call
 
 if TYPE_CHECKING:
     from mimosahoist.query.idempotency import IdempotencyStore
@@ -221,7 +221,7 @@
         """Problem for an answer that is no success."""
         if reply.status == messages.STATUS_REFUSED:
             self.service.metrics.count("upstream_refused")
-            call.upstream.refresh.set()
+            call.upstream.poller.refresh.set()
             return Problem(ProblemKind.OVERLOADED, "the upstream refused", "send it again later")
         if reply.status == messages.STATUS_DEADLINE:
             return Problem(
--- a/libs/query/src/mimosahoist/query/shard_task.py
+++ b/libs/query/src/mimosahoist/query/shard_task.py
@@ -10,8 +10,8 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.query.service import CallEvidence
 from mimosahoist.upstream import messages
+from mimosahoist.upstream.call import Call
 from mimosahoist.upstream.transport import ExchangeFailure, FailureKind
-from mimosahoist.upstream.upstream import Call
 
 if TYPE_CHECKING:
     from opentelemetry.trace import Span
@@ -198,7 +198,7 @@
             self.retry(REASON_TIMEOUT)
         elif reply.status == messages.STATUS_REFUSED:
             self.service.metrics.count("upstream_refused")
-            call.upstream.refresh.set()
+            call.upstream.poller.refresh.set()
             self.retry(REASON_NO_ROOM)
         else:
             self.note(call, failed=True)
@@ -293,4 +293,4 @@
         if not self.service.features.cancel:
             return
         for call in self.open_calls.values():
-            self.service.tasks.spawn(call.upstream.cancel(call.request), "cancel")
+            self.service.tasks.spawn(call.upstream.poller.cancel(call.request), "cancel")
--- a/libs/upstream/src/mimosahoist/upstream/upstream.py
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -4,76 +4,32 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
-from mimosahoist.upstream import messages
 from mimosahoist.upstream.health import Health
 from mimosahoist.upstream.quota import ShareView, leads, share_of
 from mimosahoist.upstream.ramp import Ramp, RampState
-from mimosahoist.upstream.transport import Connection, ExchangeFailure, FailureKind, Reply
+from mimosahoist.upstream.status_poller import StatusPoller
+from mimosahoist.upstream.transport import ExchangeFailure, FailureKind, Reply
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.platform.kinds import ServiceSpec
+    from mimosahoist.upstream import messages
+    from mimosahoist.upstream.call import Call
     from mimosahoist.upstream.pool import UpstreamPool
-    from mimosahoist.upstream.transport import Transport
+    from mimosahoist.upstream.transport import Connection, Transport
 
 CONTROL_CONNECTIONS = 1
-STATUS_INTERVAL = 1.0
-STATUS_INTERVAL_EJECTED = 0.25
-STATUS_TIMEOUT = 1.0
-CANCEL_TIMEOUT = 0.5
-PROBE_TIMEOUT = 2.0
 SILENCE_GRACE = 0.1
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY = 0.010
-WARM_REPORT_SECONDS = 3.0
 RETIRE_SECONDS = 60.0
 RETIRE_POLL_SECONDS = 0.05
 
 
-@dataclass(slots=True)
-class Call:
-    """One exchange on behalf of a request.
-
-    Attributes
-    ----------
-    path : str
-        Path of the upstream's protocol.
-    body : bytes
-        Encoded message.
-    deadline : float
-        Loop time after which the answer is of no use.
-    done : callable
-        Called with the call once `outcome` is set.
-    connecting : bool
-        Whether the exchange may have had to open a connection first.
-    """
-
-    path: str
-    body: bytes
-    request: str
-    deadline: float
-    done: Callable[[Call], None]
-    upstream: Upstream | None = None
-    outcome: Reply | ExchangeFailure | None = None
-    started: float = 0.0
-    elapsed: float = 0.0
-    connecting: bool = False
-
-    @property
-    def comparable(self) -> float | None:
-        """Seconds until the answer, or None if a new connection was part of them."""
-        return None if self.connecting else self.elapsed
-
-
 class Upstream:
     """Connections, limits and health of one upstream.
 
@@ -103,11 +59,11 @@
         self.ramp = Ramp(spec["cold_concurrency"], spec["slots"] + spec["queue"])
         self.health = Health()
         self.tasks = TaskSet()
+        self.poller = StatusPoller(self)
         self.status: messages.UpstreamStatus | None = None
         self.listed_leaving = False
         self.reported_draining = False
         self.exclusive_for: str | None = None
-        self.refresh = asyncio.Event()
         self.unsure = False
         self.closed = False
         self.latency = INITIAL_LATENCY
@@ -115,16 +71,12 @@
         self.workers = 0
         self.idle: deque[asyncio.Future[Call]] = deque()
         self.lingering: deque[float] = deque()
-        self.control: Connection | None = None
-        self.control_lock = asyncio.Lock()
-        self.warm_since: float | None = None
         self.cached_limit = 0
         self.limit_inputs: tuple[int, int, int] | None = None
 
     async def start(self) -> None:
         """Begin to poll the status."""
-        self.control = self.transport.open(self.address, False, self.handle_closed)
-        self.tasks.spawn(self.poll_status(), f"status {self.name}")
+        await self.poller.start()
 
     async def retire(self) -> None:
         """Take no new calls, let those in flight end, then close."""
@@ -140,7 +92,7 @@
         """Stop all tasks and close all connections; calls in flight end as abandoned."""
         self.closed = True
         await self.tasks.close()
-        self.control.close()
+        self.poller.close()
 
     @property
     def limit(self) -> int:
@@ -253,7 +205,7 @@
         warm upstream's load would meet a cold one.
         """
         self.unsure = True
-        self.refresh.set()
+        self.poller.refresh.set()
 
     def handle_failure(self, failure: ExchangeFailure, at: float) -> None:
         """Count a failed exchange and keep the connection budget."""
@@ -307,76 +259,22 @@
         if self.ramp.adopt(state, now()):
             self.pool.handle_room()
 
-    async def cancel(self, request: str) -> None:
-        """Ask the upstream to stop a call, if the control connection is free."""
-        if self.control_lock.locked():
-            return
-        body = msgspec.json.encode({"request": request})
-        await self.exchange_control(messages.CANCEL_PATH, body, CANCEL_TIMEOUT)
-        self.metrics.count("cancel_sent")
-
-    async def exchange_control(self, path: str, body: bytes, timeout: float) -> Reply | None:
-        """Exchange over the control connection; None if there is no answer."""
-        async with self.control_lock:
-            try:
-                return await self.control.exchange(path, body, timeout)
-            except ExchangeFailure as failure:
-                if failure.kind is not FailureKind.TIMEOUT or path == messages.STATUS_PATH:
-                    self.handle_failure(failure, now())
-                return None
-
-    async def poll_status(self) -> None:
-        """Read the status at intervals, and probe while the upstream warms up."""
-        while True:
-            reply = await self.exchange_control(messages.STATUS_PATH, b"", STATUS_TIMEOUT)
-            if reply is not None and reply.status == messages.STATUS_OK:
-                self.take_status(reply)
-            if self.needs_warm_up():
-                await self.warm_up()
-            await self.rest()
-
-    async def rest(self) -> None:
-        """Wait for the time of the next poll, or until someone wants one at once."""
-        self.refresh.clear()
-        timer = asyncio.get_running_loop().call_later(self.poll_interval(), self.refresh.set)
-        try:
-            await self.refresh.wait()
-        finally:
-            timer.cancel()
-
-    def needs_warm_up(self) -> bool:
-        """Whether it is this instance's task to gather evidence of warmth."""
-        wanted = self.version in self.pool.versions_wanted
-        cold = not self.ramp.warm and self.available(now())
-        return wanted and cold and leads(self.name, self.shares)
-
     def forget_snapshot(self, snapshot: int) -> None:
         """Drop a snapshot that the upstream no longer has, and read its status soon."""
         if self.status is not None:
             held = [item for item in self.status["snapshots"] if item["id"] != snapshot]
             self.status["snapshots"] = held
         self.pool.handle_snapshots()
-        self.refresh.set()
+        self.poller.refresh.set()
 
     def note_newest(self, snapshot: int) -> None:
         """Read the status soon if the upstream has a snapshot that is not known here."""
         known = self.status["snapshots"] if self.status is not None else []
         if not known or known[-1]["id"] < snapshot:
-            self.refresh.set()
+            self.poller.refresh.set()
 
-    def poll_interval(self) -> float:
-        """Seconds until the next poll."""
-        if self.ramp.warm and not self.unsure and self.health.available(now()):
-            return STATUS_INTERVAL
-        return STATUS_INTERVAL_EJECTED
-
-    def take_status(self, reply: Reply) -> None:
-        """Take a status report in."""
-        try:
-            status = messages.status_decoder.decode(reply.body)
-        except msgspec.DecodeError:
-            self.metrics.count("status_not_understood")
-            return
+    def accept_status(self, status: messages.UpstreamStatus) -> None:
+        """Learn from a status report: the upstream is there, in which state, with what."""
         at = now()
         if self.ramp.restart(status["incarnation"], at):
             self.publish_ramp("new incarnation")
@@ -388,63 +286,7 @@
         if status["draining"] != self.reported_draining:
             json_log.change("upstream drain", upstream=self.name, draining=status["draining"])
             self.reported_draining = status["draining"]
-        if not status["warm"]:
-            self.warm_since = None
-        elif self.warm_since is None:
-            self.warm_since = at
         changed = self.status is None or self.status["snapshots"] != status["snapshots"]
         self.status = status
         if changed:
             self.pool.handle_snapshots()
-
-    async def warm_up(self) -> None:
-        """Gather evidence of warmth without waiting for callers' requests.
-
-        A searcher gets a probe search. A service that runs operations cannot be probed, so a
-        report that has been warm for longer than reports lag counts as one answer.
-        """
-        at = now()
-        if self.spec["kind"] == "search":
-            await self.probe()
-        elif self.warm_since is not None and at - self.warm_since > WARM_REPORT_SECONDS:
-            self.ramp.successes += 1
-            self.promote_if_leading(at)
-
-    async def probe(self) -> None:
-        """Run a probe search within the upstream's present limit."""
-        if self.status is None or not self.status["snapshots"] or not self.has_room(now()):
-            return
-        snapshot = self.status["snapshots"][-1]
-        call = messages.SearchCall(
-            request=f"probe-{self.name}",
-            query={"text": ""},
-            route="probe",
-            snapshot=snapshot["id"],
-            shards=snapshot["shards"],
-            limit=1,
-            deadline_ms=int(PROBE_TIMEOUT * 1000),
-        )
-        finished = asyncio.get_running_loop().create_future()
-        body = msgspec.json.encode(call)
-        self.metrics.count("probe_sent")
-        self.submit(
-            Call(
-                messages.SEARCH_PATH,
-                body,
-                call["request"],
-                now() + PROBE_TIMEOUT,
-                lambda done: finished.done() or finished.set_result(done),
-            )
-        )
-        done = await finished
-        if isinstance(done.outcome, Reply) and done.outcome.status == messages.STATUS_OK:
-            self.take_probe_answer(done, done.outcome)
-
-    def take_probe_answer(self, call: Call, reply: Reply) -> None:
-        """Learn from the answer to a probe."""
-        try:
-            answer = messages.search_answer_decoder.decode(reply.body)
-        except msgspec.DecodeError:
-            self.metrics.count("answer_not_understood")
-            return
-        self.observe(call, answer["warm"], answer["incarnation"])
