--- a/libs/core/src/mimosahoist/core/metrics.py
+++ b/libs/core/src/mimosahoist/core/metrics.py
@@ -55,7 +55,7 @@
     Two histograms take turns, so that old values fall out after two windows.
     """
 
-    WINDOW = 2000
+    WINDOW = 500
 
     def __init__(self, percent: float, initial: float) -> None:
         self.percent = percent
--- a/libs/lab/src/mimosahoist/lab/capacity.py
+++ b/libs/lab/src/mimosahoist/lab/capacity.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 import gc
+import multiprocessing
 import os
 import random
 import time
@@ -11,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+from absl import logging
 
 from mimosahoist.core.metrics import Metrics
 from mimosahoist.core.tasks import now
@@ -34,13 +37,15 @@
 
 if TYPE_CHECKING:
     import argparse
+    from collections.abc import Callable
 
-MESH_SIZES = (8, 32, 96)
+MESH_SIZES = (8, 32, 96, 192)
 ZMQ_SIZES = (4, 8, 16, 32)
 ZMQ_PORT = 26_000
 ZMQ_SETTLE_SECONDS = 4.0
 ZMQ_SECONDS = 6.0
 MESH_SECONDS = 30.0
+SETTLE_SECONDS = 20.0
 MESH_CHANGES = 3
 MERGE_SIZES = (100, 930, 9300)
 MERGE_RUNS = 200
@@ -134,7 +139,7 @@
     mesh = PeerMesh(size, 1)
     await mesh.start()
     mesh.platform.list_instance("peer-0", {"role": "other"})
-    await asyncio.sleep(10)
+    await asyncio.sleep(SETTLE_SECONDS)
     frames, sent, calls = mesh.frames_sent(), mesh.bytes_sent(), sum(mesh.platform.calls.values())
     started, spent = now(), time.process_time()
     await asyncio.sleep(MESH_SECONDS)
@@ -219,17 +224,17 @@
 def command(arguments: argparse.Namespace) -> int:
     """Command ``mimosahoist-lab capacity``: measure, write the figures, plots and the page."""
     print("measuring costs of real processes, memory, then peers by number", flush=True)
-    upstreams = {str(count): run_paused(upstream_memory(count)) for count in UPSTREAM_COUNTS}
+    upstreams = {str(count): isolated(upstream_bytes, count) for count in UPSTREAM_COUNTS}
     figures = {
         "commit": commit(),
         "command": "make capacity",
         "cost": measure_cost(arguments.seed),
         "merge_us_per_hit": merge_cost(),
-        "connection_bytes": asyncio.run(connection_memory()),
+        "connection_bytes": isolated(connection_bytes),
         "upstream_bytes": upstream_slope(upstreams),
-        "query_bytes": run_paused(query_memory()),
+        "query_bytes": isolated(query_bytes),
         "mesh": [run_paused(mesh_costs(size)) for size in MESH_SIZES],
-        "zmq": [asyncio.run(zmq_costs(size)) for size in ZMQ_SIZES],
+        "zmq": [isolated(zmq_figures, size) for size in ZMQ_SIZES],
     }
     output = Path(arguments.output)
     output.write_bytes(msgspec.json.format(msgspec.json.encode(figures), indent=2) + b"\n")
@@ -239,6 +244,34 @@
     return 0
 
 
+def isolated(work: Callable[..., Any], *arguments: Any) -> Any:
+    """Run a measurement in a fresh process, so that earlier ones leave no memory to it."""
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(1, context) as executor:
+        return executor.submit(work, *arguments).result()
+
+
+def upstream_bytes(count: int) -> int:
+    """Measure an entry's memory with a number of upstreams."""
+    return run_paused(upstream_memory(count))
+
+
+def connection_bytes() -> float:
+    """Measure a connection's memory."""
+    return asyncio.run(connection_memory())
+
+
+def query_bytes() -> float:
+    """Measure an open query's memory."""
+    return run_paused(query_memory())
+
+
+def zmq_figures(size: int) -> dict[str, float]:
+    """Measure peers on loopback."""
+    logging.set_verbosity(logging.ERROR)
+    return asyncio.run(zmq_costs(size))
+
+
 def upstream_slope(measured: dict[str, int]) -> float:
     """Bytes per upstream from two sizes."""
     small, large = UPSTREAM_COUNTS
--- a/libs/lab/src/mimosahoist/lab/capacity_page.py
+++ b/libs/lab/src/mimosahoist/lab/capacity_page.py
@@ -59,6 +59,11 @@
     return Slope(mean_value - step * mean_size, step)
 
 
+def at_target(rows: list[dict[str, float]], key: str) -> float:
+    """Value of the line at the target; a line that falls is no gain to count on."""
+    return max(fit(rows, key).at(DAEMONS), rows[-1][key])
+
+
 def target_load() -> Load:
     """Even load of one of the daemons."""
     queries = QUERIES_PER_SECOND / DAEMONS
@@ -190,20 +195,20 @@
 def control_section(figures: dict[str, Any]) -> str:
     """Membership and exchange."""
     mesh, zmq = figures["mesh"], figures["zmq"]
-    rest_bytes = fit(mesh, "bytes_per_second").at(DAEMONS)
-    change_bytes = fit(mesh, "bytes_per_change").at(DAEMONS)
-    event_bytes = fit(mesh, "bytes_per_replacement").at(DAEMONS)
+    rest_bytes = at_target(mesh, "bytes_per_second")
+    change_bytes = at_target(mesh, "bytes_per_change")
+    event_bytes = at_target(mesh, "bytes_per_replacement")
     changes = CHANGES_PER_DAY / DAY_SECONDS
     events = REPLACEMENTS_PER_DAY / DAY_SECONDS
     rate = rest_bytes + change_bytes * changes + event_bytes * events
-    memory_us = fit(mesh, "us_per_second").at(DAEMONS)
-    socket_us = fit(zmq, "us_per_second").at(DAEMONS)
-    event_us = fit(mesh, "us_per_replacement").at(DAEMONS) * events
-    change_us = fit(mesh, "us_per_change").at(DAEMONS) * changes
+    memory_us = at_target(mesh, "us_per_second")
+    socket_us = at_target(zmq, "us_per_second")
+    event_us = at_target(mesh, "us_per_replacement") * events
+    change_us = at_target(mesh, "us_per_change") * changes
     cores = (max(memory_us, socket_us) + event_us + change_us) / 1e6
     pair = zmq[-1]["bytes_per_peer_pair"]
     pair_mb = pair * DAEMONS / 1e6
-    spread = fit(mesh, "seconds_per_change")
+    spread = at_target(mesh, "seconds_per_change")
     return f"""## Entry: membership and exchange
 
 State: a record of each member, facts, positions of peers, a socket a peer. Mechanisms: SWIM probes
@@ -221,8 +226,8 @@
   {met(pair_mb, MEMORY_MB)} 256 MB. A socket to each of 810 peers is what grows worst; what replaces
   it is closing a peer's socket after its probe, so that only recent ones are open.
 - In force: {mesh[-1]['seconds_per_change']:.2f} s at {mesh[-1]['peers']} peers; the line gives
-  {spread.at(DAEMONS):.1f} s at 810, and rounds of random exchange grow with the logarithm of the
-  fleet; {met(spread.at(DAEMONS), IN_FORCE_SECONDS)} 6 s.
+  {spread:.1f} s at 810, and rounds of random exchange grow with the logarithm of the
+  fleet; {met(spread, IN_FORCE_SECONDS)} 6 s.
 """
 
 
--- a/libs/lab/src/mimosahoist/lab/fleet.py
+++ b/libs/lab/src/mimosahoist/lab/fleet.py
@@ -175,13 +175,14 @@
         app: EntryApplication | None = None,
         priority: int = 0,
         route: str = "default",
+        request_id: str | None = None,
     ) -> SearchResult:
         """Send a search to an entry instance."""
         app = app or self.pick_entry()
         organisation = self.deployment.organisation
         query = {"text": text}
         request = SearchRequest(
-            app.next_request_id(),
+            request_id or app.next_request_id(),
             query,
             route,
             10,
--- a/libs/lab/src/mimosahoist/lab/soak.py
+++ b/libs/lab/src/mimosahoist/lab/soak.py
@@ -53,7 +53,7 @@
         self.revisions: dict[tuple[str, int], int] = {}
         self.searches = [size.name for size in deployment.services if size.kind == "search"]
         self.runs = [size.name for size in deployment.services if size.kind == "run"]
-        self.refused_runs: list[str] = []
+        self.refused: list[str] = []
 
     async def run(self) -> None:
         """Run to the end and check everything."""
@@ -91,9 +91,12 @@
         app = self.fleet.pick_entry()
         started = now()
         self.counts["searches"] += 1
+        request_id = f"search-{self.counts['searches']}"
         try:
-            result = await self.fleet.search(service, text, DEADLINE, app)
+            result = await self.fleet.search(service, text, DEADLINE, app, request_id=request_id)
         except Problem as problem:
+            if problem.run is RunState.NOT_RUN:
+                self.refused.append(request_id)
             self.counts[f"search refused {problem.kind}"] += 1
             if problem.kind is ProblemKind.REJECTED_REQUEST:
                 self.violate("innocent requests are not blamed", text)
@@ -164,7 +167,7 @@
         except Problem as problem:
             self.counts[f"run refused {problem.kind} {problem.run}"] += 1
             if problem.run is RunState.NOT_RUN:
-                self.refused_runs.append(request_id)
+                self.refused.append(request_id)
             return False
         except KeyError:
             return False
@@ -228,8 +231,8 @@
         for identifier, count in operations.items():
             if count > 1:
                 self.violate("at most once", f"{identifier} ran {count} times")
-        bases = {request.rpartition(".")[0] for request in begun}
-        for request in self.refused_runs:
+        bases = {request.partition(".")[0] for request in begun}
+        for request in self.refused:
             if request in bases:
                 self.violate("'not run' is true", request)
 
--- a/libs/peers/src/mimosahoist/peers/facts.py
+++ b/libs/peers/src/mimosahoist/peers/facts.py
@@ -6,6 +6,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+import msgspec
+import xxhash
+
 from mimosahoist.core.tasks import unix_time
 
 if TYPE_CHECKING:
@@ -42,10 +45,11 @@
 
 
 class HeldFact(NamedTuple):
-    """A value with the local sequence number of its last change."""
+    """A value with the local sequence number of its last change and its checksum."""
 
     value: Any
     sequence: int
+    checksum: int
 
 
 class FactBoard:
@@ -57,6 +61,8 @@
         Held facts in the order of their last change.
     changes : Counter
         Number of changes by a kind's prefix.
+    checksum : int
+        Equal at all boards that hold the same facts, whatever the order in which they came.
     """
 
     def __init__(self) -> None:
@@ -64,6 +70,7 @@
         self.listeners: dict[str, Callable[[str, Any], None]] = {}
         self.facts: dict[str, HeldFact] = {}
         self.changes: Counter[str] = Counter()
+        self.checksum = 0
         self.sequence = 0
         self.urgent_listeners: list[Callable[[], None]] = []
 
@@ -107,11 +114,19 @@
         if held is not None and joined == held.value:
             return False
         self.sequence += 1
-        self.facts.pop(key, None)
-        self.facts[key] = HeldFact(joined, self.sequence)
+        self.discard(key)
+        checksum = checksum_of(key, joined)
+        self.checksum ^= checksum
+        self.facts[key] = HeldFact(joined, self.sequence, checksum)
         self.changes[kind.prefix] += 1
         return True
 
+    def discard(self, key: str) -> None:
+        """Drop a fact, if there is one."""
+        held = self.facts.pop(key, None)
+        if held is not None:
+            self.checksum ^= held.checksum
+
     def since(self, sequence: int) -> list[Fact]:
         """Facts that changed after a local sequence number."""
         newer = []
@@ -139,5 +154,10 @@
             key for key, held in self.facts.items() if self.kind_of(key).expired(held.value, at)
         ]
         for key in expired:
-            del self.facts[key]
+            self.discard(key)
             self.changes[self.kind_of(key).prefix] += 1
+
+
+def checksum_of(key: str, value: Any) -> int:
+    """64-bit checksum of a fact."""
+    return xxhash.xxh64_intdigest(msgspec.msgpack.encode((key, value)))
--- a/libs/peers/src/mimosahoist/peers/frames.py
+++ b/libs/peers/src/mimosahoist/peers/frames.py
@@ -35,6 +35,8 @@
         Number of the receiver's latest fact that the sender has; 0 if it has none.
     seen_incarnation : int
         Incarnation of the receiver that `seen` speaks of.
+    checksum : int
+        Checksum of all the sender's facts.
     """
 
     objects: int
@@ -42,6 +44,7 @@
     sequence: int
     seen: int
     seen_incarnation: int
+    checksum: int
 
 
 class Frame(NamedTuple):
--- a/libs/peers/src/mimosahoist/peers/progress.py
+++ b/libs/peers/src/mimosahoist/peers/progress.py
@@ -70,10 +70,16 @@
             self.board.sequence,
             peer.received if peer else 0,
             peer.incarnation if peer else 0,
+            self.board.checksum,
         )
 
     def position_of(self, digest: Digest) -> Position:
-        """Where in the local history the sender of a digest is."""
+        """Where in the local history the sender of a digest is.
+
+        A sender with the same facts lacks none, though it may never have been in contact.
+        """
+        if digest.checksum == self.board.checksum:
+            return Position(self.board.sequence, digest.objects, digest.instances)
         known = digest.seen_incarnation == self.incarnation
         return Position(digest.seen if known else 0, digest.objects, digest.instances)
 
@@ -89,7 +95,11 @@
         if peer is None or peer.incarnation < frame.incarnation:
             peer = PeerProgress(frame.incarnation)
             self.peers[frame.sender] = peer
-        if peer.incarnation == frame.incarnation and frame.facts_since <= peer.received:
+        if peer.incarnation != frame.incarnation:
+            return
+        if frame.digest.checksum == self.board.checksum:
+            peer.received = max(peer.received, frame.digest.sequence)
+        elif frame.facts_since <= peer.received:
             peer.received = max(peer.received, frame.facts_until)
 
     def forget(self, name: str) -> None:
--- a/libs/peers/tests/test_exchange.py
+++ b/libs/peers/tests/test_exchange.py
@@ -148,3 +148,14 @@
                 self.assertEqual(node.metrics.counters[counter], count + 1)
         self.assertEqual(node.board.facts, before)
         await self.close(nodes)
+
+    async def test_first_contact_of_equal_boards_carries_no_facts(self) -> None:
+        _, nodes = await self.make(32)
+        await asyncio.sleep(20)
+        frames = sum(node.transport.frames_sent for node in nodes)
+        sent = sum(node.transport.bytes_sent for node in nodes)
+        await asyncio.sleep(30)
+        frames = sum(node.transport.frames_sent for node in nodes) - frames
+        sent = sum(node.transport.bytes_sent for node in nodes) - sent
+        self.assertLess(sent / frames, 150)
+        await self.close(nodes)
--- a/libs/query/src/mimosahoist/query/admission.py
+++ b/libs/query/src/mimosahoist/query/admission.py
@@ -66,11 +66,13 @@
         heapq.heappush(self.queue, waiter)
         try:
             await asyncio.wait_for(asyncio.shield(admitted), max(0.0, deadline - now()))
-        except TimeoutError:
+        except (TimeoutError, asyncio.CancelledError) as error:
             if not admitted.cancel():
                 self.running -= 1
                 self.wake()
-            raise self.refusal() from None
+            if isinstance(error, TimeoutError):
+                raise self.refusal() from None
+            raise
 
     def leave(self, held: float) -> None:
         """Give a place back after `held` seconds."""
--- a/libs/query/src/mimosahoist/query/crash_guard.py
+++ b/libs/query/src/mimosahoist/query/crash_guard.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from mimosahoist.core import json_log
-from mimosahoist.core.problem import Problem, ProblemKind
+from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.core.tasks import unix_time
 
 if TYPE_CHECKING:
@@ -82,8 +82,8 @@
         self.records: OrderedDict[str, CrashRecord] = OrderedDict()
         self.listeners: list[Callable[[str, CrashRecord], None]] = []
 
-    def check(self, fingerprint: str) -> None:
-        """Raise a Problem if the request is rejected."""
+    def check(self, fingerprint: str, run: RunState = RunState.NOT_RUN) -> None:
+        """Raise a Problem if the request is rejected; `run` tells what has become of it."""
         if not self.is_rejected(fingerprint):
             return
         self.metrics.count("refused_crashing")
@@ -91,6 +91,7 @@
             ProblemKind.REJECTED_REQUEST,
             "upstreams broke each time they ran this request",
             "do not send it again; report it to the service's owner",
+            run,
         )
 
     def is_rejected(self, fingerprint: str) -> bool:
--- a/libs/query/src/mimosahoist/query/search.py
+++ b/libs/query/src/mimosahoist/query/search.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from mimosahoist.core.problem import Problem, ProblemKind
+from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.core.tasks import now
 from mimosahoist.query.request import MissingShard, SearchResult
 from mimosahoist.query.shard_task import REASON_NO_UPSTREAM, ShardTask
@@ -48,7 +48,7 @@
         Raises
         ------
         Problem
-            If the request is refused before anything was sent.
+            If the request is refused; its `run` tells whether anything was sent before.
         """
         self.service.crash_guard.check(self.request.fingerprint)
         await self.service.admission.enter(self.request.priority, self.request.deadline)
@@ -62,12 +62,12 @@
     async def search_snapshots(self) -> SearchResult:
         """Search one snapshot, and another from the start if that one is lost."""
         for _ in range(MAX_RESTARTS):
-            previous = self.plan
-            self.plan = self.service.plan(self.version)
-            if self.plan is None:
+            plan = self.service.plan(self.version)
+            if plan is None:
                 raise no_snapshot()
-            if previous is not None and previous.snapshot == self.plan.snapshot:
+            if self.plan is not None and self.plan.snapshot == plan.snapshot:
                 break
+            self.plan = plan
             await self.search_plan()
             if not self.snapshot_lost or now() >= self.gather_until():
                 break
@@ -80,14 +80,15 @@
         self.snapshot_lost = False
         self.encoded_prefix = self.encode_prefix()
         self.tasks = [
-            ShardTask(self, group, number) for number, group in enumerate(self.plan.groups)
+            ShardTask(self, self.plan, group, number)
+            for number, group in enumerate(self.plan.groups)
         ]
         self.open_tasks = len(self.tasks)
         if self.needs_canary():
             self.in_canary = True
             await self.run_canaries()
             self.in_canary = False
-            self.service.crash_guard.check(self.request.fingerprint)
+            self.service.crash_guard.check(self.request.fingerprint, RunState.UNKNOWN)
             if self.needs_exclusive() or now() >= self.gather_until():
                 return
         for task in self.tasks:
--- a/libs/query/src/mimosahoist/query/shard_task.py
+++ b/libs/query/src/mimosahoist/query/shard_task.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from opentelemetry.trace import Span
 
-    from mimosahoist.query.plan import ShardGroup
+    from mimosahoist.query.plan import Plan, ShardGroup
     from mimosahoist.query.search import Search
     from mimosahoist.upstream.transport import Reply
     from mimosahoist.upstream.upstream import Upstream
@@ -35,8 +35,9 @@
 class ShardTask:
     """Asks one shard group's upstreams until one answers, with hedges and retries."""
 
-    def __init__(self, search: Search, group: ShardGroup, number: int) -> None:
+    def __init__(self, search: Search, plan: Plan, group: ShardGroup, number: int) -> None:
         self.search = search
+        self.plan = plan
         self.service = search.service
         self.group = group
         self.number = number
@@ -189,7 +190,7 @@
         if reply.status == messages.STATUS_OK:
             self.handle_answer(call, reply)
         elif reply.status == messages.STATUS_CONFLICT:
-            call.upstream.forget_snapshot(self.search.plan.snapshot)
+            call.upstream.forget_snapshot(self.plan.snapshot)
             self.service.metrics.count("snapshot_gone")
             self.retry_other_holder()
         elif reply.status == messages.STATUS_CANCELLED:
@@ -228,7 +229,7 @@
             answer = messages.search_answer_decoder.decode(reply.body)
         except msgspec.DecodeError:
             return None
-        plan = self.search.plan
+        plan = self.plan
         echoed = (
             answer["request"] == call.request
             and answer["snapshot"] == plan.snapshot
--- a/libs/query/tests/test_search.py
+++ b/libs/query/tests/test_search.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from mimosahoist.core.problem import Problem, ProblemKind
+from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.core.tasks import now
 from mimosahoist.lab import deployment as sizes
 from mimosahoist.lab.corpus import expected_hits
@@ -197,11 +197,15 @@
             model.faults.crash_text = "killer"
         background = asyncio.create_task(self.search_many(fleet, 300))
         refusals = 0
+        killed = 0
         for _ in range(12):
             try:
                 await fleet.search(SERVICE, "killer", DEADLINE)
             except Problem as problem:
                 refusals += problem.kind is ProblemKind.REJECTED_REQUEST
+                sent = fleet.total("killed") > killed
+                self.assertEqual(problem.run, RunState.UNKNOWN if sent else RunState.NOT_RUN)
+            killed = fleet.total("killed")
             await asyncio.sleep(0.1)
         self.assertLessEqual(fleet.total("killed"), 3)
         self.assertGreaterEqual(refusals, 10)
