--- a/libs/lab/src/mimosahoist/lab/memory.py
+++ b/libs/lab/src/mimosahoist/lab/memory.py
@@ -201,6 +201,7 @@
         self.network = network
         self.address = address
         self.failure_domain = failure_domain
+        self.silent: set[str] = set()
         self.bytes_sent = 0
         self.frames_sent = 0
 
@@ -213,7 +214,8 @@
         self.network.peers.pop(self.address, None)
 
     def forget(self, address: str) -> None:
-        """Nothing is kept for a peer."""
+        """Drop the connection to a peer; the next frame opens a new one."""
+        self.silent.discard(address)
 
     def send(self, address: str, frame: bytes) -> None:
         """Deliver a frame after the network's delay, unless it is lost or cut."""
@@ -223,6 +225,8 @@
         peer = network.peers.get(address)
         if peer is None or network.rng.random() < network.peer_loss:
             return
+        if address in self.silent:
+            return
         if network.is_cut(self.failure_domain, peer[0]):
             return
         delay = network.delay(self.failure_domain, peer[0])
--- a/libs/peers/src/mimosahoist/peers/prober.py
+++ b/libs/peers/src/mimosahoist/peers/prober.py
@@ -78,13 +78,17 @@
             await self.ping(name, address, ACK_TIMEOUT)
 
     async def probe(self, name: str, address: str, addresses: dict[str, str]) -> None:
-        """Probe a member directly, then through others; suspect it if none gets an answer."""
+        """Probe a member directly, then through others; suspect it if none gets an answer.
+
+        A missed answer can mean that the connection is silent, so the next frame opens a new one.
+        """
         timeout = ACK_TIMEOUT * (1 + self.health_penalty)
         if await self.ping(name, address, timeout):
             self.health_penalty = max(0, self.health_penalty - 1)
             return
         self.raise_penalty()
         self.exchange.metrics.count("peer_probes_missed")
+        self.exchange.transport.forget(address)
         others = [other for other in addresses if other != name]
         helpers = self.exchange.rng.sample(others, min(INDIRECT_PROBES, len(others)))
         if helpers and await self.ping_through(name, helpers, addresses, timeout):
--- a/libs/peers/src/mimosahoist/peers/zmq_transport.py
+++ b/libs/peers/src/mimosahoist/peers/zmq_transport.py
@@ -20,7 +20,6 @@
 SEND_QUEUE_FRAMES = 64
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2000
-HEARTBEAT_MS = 2000
 
 
 class ClusterKeys(NamedTuple):
@@ -116,7 +115,6 @@
         sender.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
         sender.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         sender.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-        sender.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         sender.curve_serverkey = self.keys.public.encode()
         sender.curve_publickey = self.keys.public.encode()
         sender.curve_secretkey = self.keys.secret.encode()
--- a/libs/peers/tests/test_exchange.py
+++ b/libs/peers/tests/test_exchange.py
@@ -159,3 +159,13 @@
         sent = sum(node.transport.bytes_sent for node in nodes) - sent
         self.assertLess(sent / frames, 150)
         await self.close(nodes)
+
+    async def test_silent_connections_between_peers_are_replaced(self) -> None:
+        _, nodes = await self.make(4)
+        for node in nodes:
+            node.transport.silent.update(f"n{number}:p" for number in range(4))
+        await asyncio.sleep(10)
+        self.assertTrue(all(not node.transport.silent - {f"{node.name}:p"} for node in nodes))
+        alive = {MemberState.ALIVE}
+        await self.until(lambda: all(set(n.states().values()) == alive for n in nodes), 10)
+        await self.close(nodes)
