--- a/libs/lab/src/mimosahoist/lab/capacity.py
+++ b/libs/lab/src/mimosahoist/lab/capacity.py
@@ -21,6 +21,7 @@
 from mimosahoist.lab.capacity_page import render
 from mimosahoist.lab.capacity_plots import plot_slopes
 from mimosahoist.lab.fleet import MemoryFleet
+from mimosahoist.lab.forward_cost import forward_cost
 from mimosahoist.lab.measure import commit
 from mimosahoist.lab.measure_cost import measure_cost
 from mimosahoist.lab.paused_loop import run_paused
@@ -229,6 +230,7 @@
         "commit": commit(),
         "command": "make capacity",
         "cost": measure_cost(arguments.seed),
+        "forward": forward_cost(arguments.seed),
         "merge_us_per_hit": merge_cost(),
         "connection_bytes": isolated(connection_bytes),
         "upstream_bytes": upstream_slope(upstreams),
--- a/libs/lab/src/mimosahoist/lab/capacity_page.py
+++ b/libs/lab/src/mimosahoist/lab/capacity_page.py
@@ -86,6 +86,7 @@
             HEAD.format(commit=figures["commit"], command=figures["command"]),
             slopes_section(figures),
             entry_section(figures),
+            reach_section(figures),
             control_section(figures),
             watcher_section(figures),
             controller_section(),
@@ -192,6 +193,23 @@
 """
 
 
+def reach_section(figures: dict[str, Any]) -> str:
+    """Reaching searchers through a peer."""
+    cost = figures["forward"]
+    per_call = cost["shard_call_sender_us"] + cost["shard_call_receiver_us"]
+    by_call = SEARCHERS_PER_QUERY * per_call
+    whole = cost["query_sender_us"] + cost["query_receiver_us"]
+    return f"""## Entry: reaching searchers through a peer
+
+Not built; measured with a sending and a receiving process on loopback, in processor time of both.
+
+- Shard call by shard call: {cost['shard_call_sender_us']:.0f} us at the sender +
+  {cost['shard_call_receiver_us']:.0f} us at the receiver; × 93 = **{by_call:,.0f} us** a query more.
+- The whole query once: {cost['query_sender_us']:.0f} us + {cost['query_receiver_us']:.0f} us =
+  **{whole:,.0f} us** a query more, {by_call / whole:.0f} times less.
+"""
+
+
 def control_section(figures: dict[str, Any]) -> str:
     """Membership and exchange."""
     mesh, zmq = figures["mesh"], figures["zmq"]
