--- a/libs/query/src/mimosahoist/query/service.py
+++ b/libs/query/src/mimosahoist/query/service.py
@@ -23,10 +23,10 @@
     from mimosahoist.query.shard_task import ShardTask
     from mimosahoist.upstream.pool import UpstreamPool
 
-HEDGE_PERCENT = 95.0
-HEDGE_RATIO = 0.05
-HEDGE_CAP = 50.0
-HEDGE_INITIAL = 5.0
+HEDGE_PERCENT = 97.0
+HEDGE_RATIO = 0.045
+HEDGE_CAP = 10.0
+HEDGE_INITIAL = 1.0
 INITIAL_HEDGE_DELAY = 0.05
 RETRY_RATIO = 0.1
 RETRY_CAP = 200.0
