Peers on loopback measured at 8, 32 and 96, eight in each process

Cause: the slope with real sockets came from 4 to 32 peers in a single process, an extrapolation of 25 times, with all peers sharing one processor account.

--- a/libs/lab/src/mimosahoist/lab/capacity.py
+++ b/libs/lab/src/mimosahoist/lab/capacity.py
@@ -13,9 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from absl import logging
 
-from mimosahoist.core.metrics import Metrics
 from mimosahoist.core.tasks import now
 from mimosahoist.lab import deployment as sizes
 from mimosahoist.lab.capacity_page import render
@@ -27,11 +25,7 @@
 from mimosahoist.lab.paused_loop import run_paused
 from mimosahoist.lab.peer_mesh import PeerMesh
 from mimosahoist.lab.process_usage import read_usage
-from mimosahoist.peers.exchange import Identity, PeerExchange
-from mimosahoist.peers.facts import FactBoard
-from mimosahoist.peers.keys import create_cluster_keys
-from mimosahoist.peers.zmq_transport import ZmqPeerTransport
-from mimosahoist.platform.versioned import VersionedCopy
+from mimosahoist.lab.zmq_cost import zmq_costs
 from mimosahoist.query.search import merge_hits
 from mimosahoist.upstream.curl_transport import CurlTransport
 from mimosahoist.upstream.messages import Hit
@@ -41,10 +35,7 @@
     from collections.abc import Callable
 
 MESH_SIZES = (8, 32, 96, 192)
-ZMQ_SIZES = (4, 8, 16, 32)
-ZMQ_PORT = 26_000
-ZMQ_SETTLE_SECONDS = 4.0
-ZMQ_SECONDS = 6.0
+ZMQ_SIZES = (8, 32, 96)
 MESH_SECONDS = 30.0
 SETTLE_SECONDS = 20.0
 MESH_CHANGES = 3
@@ -182,46 +173,6 @@
     }
 
 
-async def zmq_costs(size: int) -> dict[str, float]:
-    """Processor time and memory with real sockets and keys, many peers in one process."""
-    keys = create_cluster_keys()
-    before = resident_bytes()
-    peers = [zmq_peer(number, size, keys) for number in range(size)]
-    for peer in peers:
-        await peer.start()
-    await asyncio.sleep(ZMQ_SETTLE_SECONDS + size * 0.5)
-    spent, started = time.process_time(), time.monotonic()
-    await asyncio.sleep(ZMQ_SECONDS)
-    seconds = time.monotonic() - started
-    cost = (time.process_time() - spent) / size / seconds * MICROSECONDS
-    used = resident_bytes() - before
-    known = min(len(peer.reachable_peers()) for peer in peers)
-    for peer in peers:
-        await peer.close()
-    return {
-        "peers": size,
-        "known": known,
-        "us_per_second": cost,
-        "bytes_per_peer_pair": used / size / max(1, size - 1),
-    }
-
-
-def zmq_peer(number: int, size: int, keys: Any) -> PeerExchange:
-    """One peer on loopback."""
-    address = f"127.0.0.1:{ZMQ_PORT + number}"
-    metrics = Metrics()
-    return PeerExchange(
-        Identity("cap", f"z{number}", 1, address, address, "abcd"[number % 4]),
-        ZmqPeerTransport(address, keys, metrics),
-        FactBoard(),
-        VersionedCopy(),
-        VersionedCopy(),
-        metrics,
-        random.Random(number),
-        [f"127.0.0.1:{ZMQ_PORT}"],
-    )
-
-
 def command(arguments: argparse.Namespace) -> int:
     """Command ``mimosahoist-lab capacity``: measure, write the figures, plots and the page."""
     print("measuring costs of real processes, memory, then peers by number", flush=True)
@@ -236,7 +187,7 @@
         "upstream_bytes": upstream_slope(upstreams),
         "query_bytes": isolated(query_bytes),
         "mesh": [run_paused(mesh_costs(size)) for size in MESH_SIZES],
-        "zmq": [isolated(zmq_figures, size) for size in ZMQ_SIZES],
+        "zmq": [zmq_costs(size) for size in ZMQ_SIZES],
     }
     output = Path(arguments.output)
     output.write_bytes(msgspec.json.format(msgspec.json.encode(figures), indent=2) + b"\n")
@@ -268,12 +219,6 @@
     return run_paused(query_memory())
 
 
-def zmq_figures(size: int) -> dict[str, float]:
-    """Measure peers on loopback."""
-    logging.set_verbosity(logging.ERROR)
-    return asyncio.run(zmq_costs(size))
-
-
 def upstream_slope(measured: dict[str, int]) -> float:
     """Bytes per upstream from two sizes."""
     small, large = UPSTREAM_COUNTS
--- a/libs/lab/src/mimosahoist/lab/capacity_page.py
+++ b/libs/lab/src/mimosahoist/lab/capacity_page.py
@@ -144,7 +144,7 @@
         )
     lines += [
         "",
-        "Peers on loopback with real sockets and keys, all in one process:",
+        "Peers on loopback with real sockets and keys, eight in each process:",
         "",
         "| peers | us/s a peer | memory a pair |",
         "| --- | --- | --- |",
