Measurements and counters that could not fail now can

Cause: the table's double-run column was a constant; the planned stop summed a counter over instances that no longer existed, and abandoned calls were never counted at all, so test_vanished_upstream_ends_its_calls asserted nothing by it. Before: always 0. After: abandoned calls are counted; with upstreams closed at once instead of retired that test fails with 1 != 0.

--- a/libs/lab/src/mimosahoist/lab/measure.py
+++ b/libs/lab/src/mimosahoist/lab/measure.py
@@ -202,8 +202,7 @@
         "coverage",
         "extra load",
         "overloads",
-        "cut",
-        "double runs",
+        "refused",
     )
     print_table(header, rows)
     print()
--- a/libs/lab/src/mimosahoist/lab/measure_query.py
+++ b/libs/lab/src/mimosahoist/lab/measure_query.py
@@ -89,8 +89,7 @@
             "coverage": round(self.counts["answered"] / asked, 5),
             "extra_load": round(calls / asked - 1, 4),
             "overloads": overloads(self.fleet),
-            "cut": self.counts["refused"],
-            "double_runs": 0,
+            "refused": self.counts["refused"],
         }
 
 
@@ -202,7 +201,7 @@
     await running
     row = load.case("rolling restart of entries", fleet.metric("shard_calls") - calls)
     row["extra_load"] = "-"
-    cut = fleet.metric("exchange_failed_abandoned") + load.counts["refused"]
+    cut = load.counts["refused"] + load.counts["asked"] - load.counts["answered"]
     result = {"cases": [row], "cut": cut, "overloads": overloads(fleet)}
     await fleet.close()
     return result
--- a/libs/upstream/src/mimosahoist/upstream/upstream.py
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -185,6 +185,7 @@
             call.outcome = failure
         except asyncio.CancelledError:
             call.outcome = ExchangeFailure(FailureKind.ABANDONED, True)
+            self.metrics.count("exchange_failed_abandoned")
             call.done(call)
             raise
         at = asyncio.get_running_loop().time()
