--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-LIBRARIES := core platform declare peers upstream query moves entry cli lab
+LIBRARIES := core platform declare peers forward upstream query moves entry cli lab
 EDITABLE := $(foreach name,$(LIBRARIES),-e libs/$(name))
 
 .PHONY: setup test demo measure capacity soak lint format
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of callers' requests to upstreams by declared routes."""
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -0,0 +1,107 @@
+"""From a caller's request to its outcome."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mimosahoist.core import json_log
+from mimosahoist.core.tasks import now
+from mimosahoist.forward.admission import NO_REQUEST_ID, NO_ROUTE, Refusal, parse_time_left
+from mimosahoist.forward.declarations import CallerLimits
+from mimosahoist.forward.gather import Gather
+from mimosahoist.forward.headers import end_to_end
+from mimosahoist.forward.outcomes import Forwarded, Gathered, NotRun, RequestOutcome
+from mimosahoist.forward.plain import PlainForward
+from mimosahoist.forward.request import CallerRequest
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.forward.beliefs import Beliefs
+    from mimosahoist.forward.declarations import Route
+    from mimosahoist.forward.engine import ForwardEngine
+    from mimosahoist.forward.headers import HeaderNames
+
+NO_CONFIGURATION = NotRun("no configuration is known yet", 0.5)
+CALLER_TRIP_SECONDS = 0.008
+ANSWER_SECONDS = 0.01
+
+
+class Dispatcher:
+    """Finds the route of a request and has it gathered or forwarded."""
+
+    def __init__(
+        self, beliefs: Beliefs, engine: ForwardEngine, names: HeaderNames, metrics: Metrics
+    ) -> None:
+        self.beliefs = beliefs
+        self.engine = engine
+        self.names = names
+        self.metrics = metrics
+        self.own_headers = frozenset((names.time_left.lower(), names.wanted_upstream.lower()))
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits in force for callers."""
+        routes = self.beliefs.routes
+        return routes.configuration.limits if routes is not None else CallerLimits()
+
+    async def dispatch(
+        self, method: str, target: str, headers: HTTPHeaders, body: bytes
+    ) -> RequestOutcome | Refusal:
+        """Serve one request."""
+        routes = self.beliefs.routes
+        if routes is None:
+            return NO_CONFIGURATION
+        route = routes.find(headers.get("Host", ""), target)
+        if route is None:
+            return NO_ROUTE
+        if not headers.get(self.names.request_id):
+            return NO_REQUEST_ID
+        request = self.make_request(route, method, target, headers, body)
+        if route.shards:
+            return await Gather(self.engine, request).run()
+        return await PlainForward(self.engine, request).run()
+
+    def make_request(
+        self, route: Route, method: str, target: str, headers: HTTPHeaders, body: bytes
+    ) -> CallerRequest:
+        """Work out the times of a request."""
+        arrived = now()
+        left = parse_time_left(headers.get(self.names.time_left))
+        if left is None:
+            left = route.timeout
+        waited = self.engine.timing(route).already_waited(left)
+        waits_until = arrived + left
+        return CallerRequest(
+            headers[self.names.request_id],
+            route,
+            method,
+            target,
+            end_to_end(headers, self.own_headers),
+            body,
+            arrived,
+            waits_until,
+            min(arrived + route.timeout, waits_until - ANSWER_SECONDS),
+            arrived + route.target_latency - waited - CALLER_TRIP_SECONDS,
+        )
+
+    def note_outcome(
+        self, headers: HTTPHeaders, outcome: RequestOutcome | Refusal, elapsed: float
+    ) -> None:
+        """Count an outcome, and log one that is no plain success."""
+        name = type(outcome).__name__.lower()
+        self.metrics.count(f"requests_{name}")
+        self.metrics.latency(f"request_{name}").record(elapsed)
+        whole = isinstance(outcome, Gathered) and not outcome.missing
+        if whole or (isinstance(outcome, Forwarded) and outcome.answer.good):
+            return
+        json_log.change(
+            "request ended",
+            request=headers.get(self.names.request_id, ""),
+            outcome=name,
+            reason=getattr(outcome, "reason", ""),
+            missing=getattr(outcome, "missing", 0),
+            milliseconds=round(elapsed * 1000, 1),
+            version=self.beliefs.routes.configuration.version if self.beliefs.routes else 0,
+        )
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -0,0 +1,117 @@
+"""All upstreams that this instance knows, by service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mimosahoist.core import json_log
+from mimosahoist.forward.declarations import ServiceLimits
+from mimosahoist.forward.repeat_budget import RepeatBudget
+from mimosahoist.forward.upstream import Upstream
+
+if TYPE_CHECKING:
+    from mimosahoist.forward.declarations import Configuration, SharedBounds, UpstreamRecord
+    from mimosahoist.forward.headers import HeaderNames
+
+
+class UpstreamFleet:
+    """Keeps upstreams in line with the list, and the shared limits with the number of instances.
+
+    Attributes
+    ----------
+    domains_out : frozenset of str
+        Failure domains that operators have taken out.
+    held_versions : frozenset
+        Pairs of service and version that get no traffic until their rollout is completed.
+    """
+
+    def __init__(self, bounds: SharedBounds, names: HeaderNames) -> None:
+        self.bounds = bounds
+        self.names = names
+        self.limits: dict[str, ServiceLimits] = {}
+        self.services: dict[str, dict[str, Upstream]] = {}
+        self.by_name: dict[str, Upstream] = {}
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.domains_out: frozenset[str] = frozenset()
+        self.held_versions: frozenset[tuple[str, str]] = frozenset()
+        self.instances = 1
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the limits of a configuration."""
+        self.limits = configuration.services
+        for upstream in self.by_name.values():
+            upstream.limits = self.limits_of(upstream.record.service)
+
+    def limits_of(self, service: str) -> ServiceLimits:
+        """Limits of a service; undeclared ones are open."""
+        return self.limits.get(service) or ServiceLimits(service)
+
+    def set_instances(self, count: int) -> None:
+        """Divide shared limits by another number of instances."""
+        if count == self.instances:
+            return
+        json_log.change("instances", count=count, before=self.instances)
+        self.instances = count
+        for upstream in self.by_name.values():
+            upstream.instances = count
+        for budget in self.budgets.values():
+            budget.instances = count
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Budget of extra sends to a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = RepeatBudget(self.bounds)
+            found.instances = self.instances
+            self.budgets[service] = found
+        return found
+
+    def of(self, service: str) -> list[Upstream]:
+        """Upstreams of a service that may get traffic."""
+        return [
+            upstream
+            for upstream in self.services.get(service, {}).values()
+            if (service, upstream.record.version) not in self.held_versions
+        ]
+
+    def put(self, record: UpstreamRecord) -> None:
+        """Add an upstream, or take its newer registration in.
+
+        Another start, address or service under the same name is another upstream.
+        """
+        held = self.by_name.get(record.name)
+        if held is not None and same_start(held.record, record):
+            if held.record.leaving != record.leaving:
+                json_log.change("upstream leaving", upstream=record.name, leaving=record.leaving)
+            held.take_record(record)
+            return
+        if held is not None:
+            self.remove(record.name, "started again")
+        upstream = Upstream(record, self.limits_of(record.service), self.bounds, self.names)
+        upstream.instances = self.instances
+        self.by_name[record.name] = upstream
+        self.services.setdefault(record.service, {})[record.name] = upstream
+        json_log.change("upstream listed", upstream=record.name, service=record.service)
+
+    def remove(self, name: str, reason: str) -> None:
+        """Forget an upstream that is gone; calls in flight go on to their end."""
+        upstream = self.by_name.pop(name, None)
+        if upstream is None:
+            return
+        self.services[upstream.record.service].pop(name, None)
+        upstream.close()
+        json_log.change("upstream gone", upstream=name, reason=reason)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for upstream in self.by_name.values():
+            upstream.close()
+
+
+def same_start(held: UpstreamRecord, record: UpstreamRecord) -> bool:
+    """Whether two registrations speak of the same start of the same upstream."""
+    return (held.service, held.address, held.started_at) == (
+        record.service,
+        record.address,
+        record.started_at,
+    )
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -0,0 +1,198 @@
+"""A search over all shards of a route."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mimosahoist.core import json_log
+from mimosahoist.core.tasks import now
+from mimosahoist.forward.completion import Progress, Verdict, decide, needed_parts
+from mimosahoist.forward.engine import certainly_not_run
+from mimosahoist.forward.outcomes import (
+    Answered,
+    CallOutcome,
+    Failed,
+    Gathered,
+    NotRun,
+    RequestOutcome,
+    Unreached,
+)
+
+if TYPE_CHECKING:
+    from mimosahoist.forward.engine import ForwardEngine
+    from mimosahoist.forward.request import CallerRequest
+    from mimosahoist.forward.upstream import Upstream
+
+RETURN_SECONDS = 0.008
+LOSER_SECONDS = 0.4
+ROOM_RETRY_SECONDS = 0.02
+RETRY_AFTER_SECONDS = (0.05, 0.25)
+
+
+class ShardSearch:
+    """One shard of a search: its calls and, in the end, its part."""
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.part: Answered | None = None
+        self.calls: dict[asyncio.Task[None], Upstream] = {}
+        self.tried: set[str] = set()
+        self.runs = 0
+        self.sends = 0
+        self.next_send = 0.0
+
+    @property
+    def hopeful(self) -> bool:
+        """Whether a call is under way that may bring the part."""
+        return self.part is None and bool(self.calls)
+
+
+class Gather:
+    """Sends a request to one upstream of each shard and merges the parts.
+
+    A call that is overdue is doubled at another upstream of the shard within the shard's budget;
+    a failed one is replaced at once.
+    """
+
+    def __init__(self, engine: ForwardEngine, request: CallerRequest) -> None:
+        self.engine = engine
+        self.request = request
+        self.route = request.route
+        self.shards = [ShardSearch(service) for service in self.route.shards]
+        self.needed = needed_parts(len(self.shards), self.route.min_coverage)
+        self.changed = asyncio.Event()
+        self.cut = request.aim - RETURN_SECONDS
+        self.hedges = 0
+
+    async def run(self) -> RequestOutcome:
+        """Search until the decision is to answer."""
+        delay = self.engine.timing(self.route).hedge_delay(self.cut - now())
+        for shard in self.shards:
+            shard.next_send = now() + delay
+            self.send(shard)
+        try:
+            while True:
+                self.send_due()
+                decision = decide(self.progress(), now())
+                if decision.verdict is not Verdict.WAIT:
+                    break
+                await self.wait(decision.until)
+        finally:
+            self.release()
+        return self.outcome(decision.verdict)
+
+    def progress(self) -> Progress:
+        """State for the decision."""
+        answered = sum(shard.part is not None for shard in self.shards)
+        hopeful = sum(shard.hopeful for shard in self.shards)
+        return Progress(
+            answered,
+            hopeful,
+            len(self.shards),
+            self.needed,
+            self.request.arrived,
+            self.cut,
+            self.request.deadline,
+        )
+
+    async def wait(self, until: float) -> None:
+        """Wait for a call's end, the next send that falls due, or `until`."""
+        for shard in self.shards:
+            if shard.part is None and shard.next_send > now():
+                until = min(until, shard.next_send)
+        try:
+            async with asyncio.timeout_at(until):
+                await self.changed.wait()
+        except TimeoutError:
+            pass
+        self.changed.clear()
+
+    def send_due(self) -> None:
+        """Double overdue calls, and try shards again that had no upstream with room."""
+        at = now()
+        for shard in self.shards:
+            if shard.part is None and at >= shard.next_send:
+                if shard.calls:
+                    self.hedges += self.send(shard)
+                    shard.next_send = self.request.deadline
+                else:
+                    shard.next_send = at + ROOM_RETRY_SECONDS
+                    self.send(shard)
+
+    def send(self, shard: ShardSearch) -> bool:
+        """Send one call of a shard, if an upstream, the attempts and the budget allow it."""
+        if shard.runs + len(shard.calls) >= self.route.max_attempts:
+            return False
+        upstream = self.engine.choose(self.route, shard.service, shard.tried)
+        if upstream is None:
+            return False
+        budget = self.engine.fleet.budget(shard.service)
+        if not shard.sends:
+            budget.note_first(now())
+        elif not budget.spend(now()):
+            self.engine.metrics.count("budget_exhausted")
+            return False
+        shard.sends += 1
+        shard.tried.add(upstream.record.name)
+        task = self.engine.tasks.spawn(self.call(shard, upstream), f"call {shard.service}")
+        shard.calls[task] = upstream
+        return True
+
+    async def call(self, shard: ShardSearch, upstream: Upstream) -> None:
+        """Carry one call, then replace it if it failed."""
+        task = asyncio.current_task()
+        outcome: CallOutcome = Unreached("cancelled")
+        try:
+            outcome = await self.engine.call(upstream, self.request, self.request.deadline)
+        finally:
+            shard.calls.pop(task, None)
+            self.changed.set()
+        if isinstance(outcome, Unreached):
+            shard.sends -= 1
+        if isinstance(outcome, Answered) and outcome.good:
+            shard.part = shard.part or outcome
+            return
+        if not certainly_not_run(outcome):
+            shard.runs += 1
+        if shard.part is None and not self.finished():
+            self.log_failed_call(shard, upstream, outcome)
+            self.send(shard)
+
+    def finished(self) -> bool:
+        """Whether nobody waits for parts any more."""
+        return now() >= self.request.deadline
+
+    def release(self) -> None:
+        """End calls whose parts are no longer wanted, leaving late ones a moment to end."""
+        for shard in self.shards:
+            shard.part = shard.part
+            for task in shard.calls:
+                asyncio.get_running_loop().call_later(LOSER_SECONDS, task.cancel)
+
+    def outcome(self, verdict: Verdict) -> RequestOutcome:
+        """Tagged outcome of the search."""
+        if verdict is Verdict.ANSWER:
+            parts = [shard.part for shard in self.shards if shard.part is not None]
+            body = self.engine.merger.merge([part.body for part in parts], self.route.result_limit)
+            signatures = [part.headers[self.engine.names.signature] for part in parts]
+            return Gathered(body, signatures, len(self.shards) - len(parts))
+        missing = [shard.service for shard in self.shards if shard.part is None]
+        reason = f"no answer of {len(missing)} shards, such as {missing[0]}"
+        if not any(shard.runs or shard.calls or shard.part for shard in self.shards):
+            return NotRun(reason, self.engine.rng.uniform(*RETRY_AFTER_SECONDS))
+        return Failed(reason, timed_out=now() >= self.request.deadline)
+
+    def log_failed_call(
+        self, shard: ShardSearch, upstream: Upstream, outcome: CallOutcome
+    ) -> None:
+        """Log a call that brought no part."""
+        json_log.change(
+            "call failed",
+            request=self.request.id,
+            service=shard.service,
+            upstream=upstream.record.name,
+            outcome=type(outcome).__name__,
+            detail=str(outcome)[:120],
+            budget_left=round(self.engine.fleet.budget(shard.service).left(now()), 1),
+        )
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -0,0 +1,169 @@
+"""A forwarding instance as a library object."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+import tornado.web
+from tornado.httpserver import HTTPServer
+
+from mimosahoist.core import json_log
+from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.forward.beliefs import Beliefs
+from mimosahoist.forward.dispatcher import Dispatcher
+from mimosahoist.forward.engine import ForwardEngine
+from mimosahoist.forward.fleet import UpstreamFleet
+from mimosahoist.forward.follower import StoreFollower
+from mimosahoist.forward.front import CallerFront
+from mimosahoist.forward.merge import RecordMerger
+from mimosahoist.platform.watched import WatchedKind
+
+if TYPE_CHECKING:
+    import random
+
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.forward.declarations import SharedBounds
+    from mimosahoist.forward.headers import HeaderNames
+    from mimosahoist.platform.watched import WatchedItem, WatchedStore
+
+UNLIMITED_BYTES = 1 << 30
+MAX_HEADER_BYTES = 1 << 20
+DRAIN_NOTICE_SECONDS = 2.5
+DRAIN_MARGIN_SECONDS = 0.5
+DRAIN_POLL_SECONDS = 0.02
+
+
+class InstanceSettings(NamedTuple):
+    """Addresses and place of an instance; addresses are ``host:port``."""
+
+    name: str
+    failure_domain: str
+    callers_address: str
+    readiness_address: str
+    readiness_path: str
+    metrics_address: str
+    peer_address: str
+    peer_seeds: tuple[str, ...]
+    instances_expected: int = 8
+
+
+class ForwardingInstance:
+    """Wires the parts of one instance together."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        bounds: SharedBounds,
+        names: HeaderNames,
+        store: WatchedStore,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.bounds = bounds
+        self.metrics = metrics
+        self.store = store
+        self.rng = rng
+        self.tasks = TaskSet()
+        self.fleet = UpstreamFleet(bounds, names)
+        self.fleet.set_instances(settings.instances_expected)
+        self.beliefs = Beliefs(self.fleet)
+        self.beliefs.listeners.append(self.handle_belief)
+        self.engine = ForwardEngine(
+            self.fleet, names, RecordMerger(), settings.failure_domain, self.metrics, rng
+        )
+        self.follower = StoreFollower(
+            store, self.beliefs, bounds.recheck_seconds, self.metrics, rng
+        )
+        self.dispatcher = Dispatcher(self.beliefs, self.engine, names, self.metrics)
+        self.front = CallerFront(self.dispatcher)
+        self.servers: list[HTTPServer] = []
+        self.draining = False
+
+    async def start(self) -> None:
+        """Start all parts and listen."""
+        await self.store.start()
+        await self.follower.start()
+        self.callers = HTTPServer(
+            self.front, max_header_size=MAX_HEADER_BYTES, max_body_size=UNLIMITED_BYTES
+        )
+        listen_on(self.callers, self.settings.callers_address)
+        status = tornado.web.Application(
+            [
+                (self.settings.readiness_path, ReadinessHandler, {"instance": self}),
+                (r"/metrics", MetricsHandler, {"instance": self}),
+            ]
+        )
+        self.servers = [self.callers]
+        for address in (self.settings.readiness_address, self.settings.metrics_address):
+            server = HTTPServer(status)
+            listen_on(server, address)
+            self.servers.append(server)
+        json_log.change("listening", address=self.settings.callers_address)
+
+    def handle_belief(self, kind: WatchedKind, item: WatchedItem) -> None:
+        """Put the callers' limits of a new configuration in force."""
+        if kind is WatchedKind.CONFIGURATION:
+            self.callers.conn_params.header_timeout = self.dispatcher.limits.idle_timeout
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return not self.draining and self.beliefs.routes is not None and bool(self.fleet.by_name)
+
+    async def drain(self) -> None:
+        """Stop gracefully: give notice, take no new connections, finish what is in flight."""
+        began = now()
+        self.draining = True
+        self.front.draining = True
+        json_log.change("draining", open_requests=self.front.open_requests)
+        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
+        self.callers.stop()
+        latest = began + self.bounds.grace_seconds - DRAIN_MARGIN_SECONDS
+        while self.front.open_requests and now() < latest:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        json_log.change("drained", open_requests=self.front.open_requests)
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        for server in self.servers:
+            server.stop()
+        await self.tasks.close()
+        await self.follower.close()
+        await self.front.tasks.close()
+        await self.engine.close()
+        await self.store.close()
+        for server in self.servers:
+            await server.close_all_connections()
+
+
+class StatusHandler(tornado.web.RequestHandler):
+    """Common to what operators and the balancer ask."""
+
+    def initialize(self, instance: ForwardingInstance) -> None:
+        """Take the instance."""
+        self.instance = instance
+
+
+class ReadinessHandler(StatusHandler):
+    """Whether callers should be sent here."""
+
+    def get(self) -> None:
+        """Answer 200 or 503."""
+        self.set_status(200 if self.instance.ready else 503)
+
+
+class MetricsHandler(StatusHandler):
+    """Counters and latencies as text."""
+
+    def get(self) -> None:
+        """Answer all of them."""
+        self.set_header("Content-Type", "text/plain")
+        self.finish(self.instance.metrics.render())
+
+
+def listen_on(server: HTTPServer, address: str) -> None:
+    """Listen on ``host:port``."""
+    host, _, port = address.rpartition(":")
+    server.listen(int(port), address=host)
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -0,0 +1,145 @@
+"""A request that one upstream runs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mimosahoist.core import json_log
+from mimosahoist.core.tasks import now
+from mimosahoist.forward.engine import certainly_not_run
+from mimosahoist.forward.outcomes import (
+    Answered,
+    CallOutcome,
+    Failed,
+    Forwarded,
+    NotRun,
+    RequestOutcome,
+    Unreached,
+)
+from mimosahoist.forward.routing import pick_service
+
+if TYPE_CHECKING:
+    from mimosahoist.forward.engine import ForwardEngine
+    from mimosahoist.forward.request import CallerRequest
+    from mimosahoist.forward.upstream import Upstream
+
+RETRY_AFTER_SECONDS = (0.05, 0.25)
+LOSER_SECONDS = 0.4
+
+
+class PlainForward:
+    """Forwards a request to one upstream of the route's service.
+
+    A call that certainly did not run is sent to another upstream, whatever the route's kind. One
+    that may have run is repeated, and an overdue one doubled, only if the route is idempotent.
+    """
+
+    def __init__(self, engine: ForwardEngine, request: CallerRequest) -> None:
+        self.engine = engine
+        self.request = request
+        self.route = request.route
+        self.service = pick_service(request.route, engine.rng)
+        self.tried: set[str] = set()
+        self.calls: set[asyncio.Task[None]] = set()
+        self.changed = asyncio.Event()
+        self.answer: Answered | None = None
+        self.failure: Answered | None = None
+        self.runs = 0
+        self.sends = 0
+        self.hedges = 0
+
+    async def run(self) -> RequestOutcome:
+        """Forward until there is an answer or nothing more can be tried."""
+        timing = self.engine.timing(self.route)
+        hedge_at = now() + timing.hedge_delay(self.request.aim - now())
+        self.send()
+        try:
+            while self.answer is None and self.calls and now() < self.request.deadline:
+                await self.wait(hedge_at)
+                if now() >= hedge_at and self.answer is None:
+                    hedge_at = self.request.deadline
+                    self.hedges += self.route.repeatable and self.send()
+        finally:
+            self.release()
+        return self.outcome()
+
+    async def wait(self, hedge_at: float) -> None:
+        """Wait for a call's end or the next time at which something falls due."""
+        try:
+            async with asyncio.timeout_at(min(hedge_at, self.request.deadline)):
+                await self.changed.wait()
+        except TimeoutError:
+            pass
+        self.changed.clear()
+
+    def send(self) -> bool:
+        """Send one call, if an upstream, the attempts and the budget allow it."""
+        if self.runs + len(self.calls) >= (self.route.max_attempts if self.route.repeatable else 1):
+            return False
+        upstream = self.engine.choose(self.route, self.service, self.tried)
+        if upstream is None:
+            return False
+        budget = self.engine.fleet.budget(self.service)
+        if not self.sends:
+            budget.note_first(now())
+        elif not budget.spend(now()):
+            self.engine.metrics.count("budget_exhausted")
+            return False
+        self.sends += 1
+        self.tried.add(upstream.record.name)
+        self.calls.add(self.engine.tasks.spawn(self.call(upstream), f"call {self.service}"))
+        return True
+
+    async def call(self, upstream: Upstream) -> None:
+        """Carry one call, then try another upstream if that is allowed."""
+        task = asyncio.current_task()
+        outcome: CallOutcome = Unreached("cancelled")
+        try:
+            outcome = await self.engine.call(upstream, self.request, self.request.deadline)
+        finally:
+            self.calls.discard(task)
+            self.changed.set()
+        if isinstance(outcome, Unreached):
+            self.sends -= 1
+        if not certainly_not_run(outcome):
+            self.runs += 1
+        if isinstance(outcome, Answered):
+            self.take_answer(outcome)
+        if self.answer is None and now() < self.request.deadline:
+            self.log_failed_call(upstream, outcome)
+            self.send()
+
+    def take_answer(self, answer: Answered) -> None:
+        """Keep an answer; a failure of the upstream is final only if nothing can follow it."""
+        if answer.good or answer.status < 500 or not self.route.repeatable:
+            self.answer = answer
+        else:
+            self.failure = answer
+
+    def release(self) -> None:
+        """End calls whose answers are no longer wanted."""
+        for task in self.calls:
+            asyncio.get_running_loop().call_later(LOSER_SECONDS, task.cancel)
+
+    def outcome(self) -> RequestOutcome:
+        """Tagged outcome of the request."""
+        answer = self.answer or (self.failure if not self.calls else None)
+        if answer is not None:
+            return Forwarded(answer)
+        if not self.runs and not self.calls:
+            return NotRun("no upstream took it", self.engine.rng.uniform(*RETRY_AFTER_SECONDS))
+        return Failed("no upstream answered", timed_out=now() >= self.request.deadline)
+
+    def log_failed_call(self, upstream: Upstream, outcome: CallOutcome) -> None:
+        """Log a call that brought no success."""
+        json_log.change(
+            "call failed",
+            request=self.request.id,
+            service=self.service,
+            upstream=upstream.record.name,
+            outcome=type(outcome).__name__,
+            detail=str(outcome)[:120],
+            repeatable=self.route.repeatable,
+            budget_left=round(self.engine.fleet.budget(self.service).left(now()), 1),
+        )
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/route_timing.py
@@ -0,0 +1,44 @@
+"""Answer times of a route's calls, and the times that callers give it."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from mimosahoist.core.metrics import SlidingQuantile
+
+MEDIAN_PERCENT = 50.0
+HEDGE_PERCENT = 88.0
+INITIAL_MEDIAN_SHARE = 0.15
+INITIAL_HEDGE_SHARE = 0.35
+FULL_TIME_SAMPLES = 64
+
+
+class RouteTiming:
+    """Quantiles of one route's call times in seconds.
+
+    Callers that come again have less time left than those that come first, so the largest of the
+    recent times tells how much a caller has in all.
+    """
+
+    def __init__(self, target_latency: float) -> None:
+        self.median = SlidingQuantile(MEDIAN_PERCENT, target_latency * INITIAL_MEDIAN_SHARE)
+        self.slow = SlidingQuantile(HEDGE_PERCENT, target_latency * INITIAL_HEDGE_SHARE)
+        self.full_times: deque[float] = deque(maxlen=FULL_TIME_SAMPLES)
+
+    def record(self, seconds: float) -> None:
+        """Count one call's answer time."""
+        self.median.record(seconds)
+        self.slow.record(seconds)
+
+    def already_waited(self, time_left: float) -> float:
+        """Seconds that a caller has spent on earlier attempts."""
+        self.full_times.append(time_left)
+        return max(self.full_times) - time_left
+
+    def hedge_delay(self, time_to_aim: float) -> float:
+        """Seconds after which a call is doubled.
+
+        No later than a doubled call still has a typical time to answer before the aim.
+        """
+        latest = time_to_aim - 1.5 * self.median.value
+        return max(self.median.value, min(self.slow.value, latest))
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/routing.py
@@ -0,0 +1,48 @@
+"""Selection of routes by host and longest path prefix."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from mimosahoist.forward.declarations import Configuration, Route
+
+
+class RouteTable:
+    """Routes of one configuration version."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self.by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self.by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self.by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Route of a request.
+
+        Parameters
+        ----------
+        host : str
+            Host header; a port is ignored.
+        target : str
+            Path, with or without a query.
+        """
+        path = target.partition("?")[0]
+        for route in self.by_host.get(host.partition(":")[0].lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """Service for one request of a plain route, drawn by weight."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    weights = [max(0.0, target.weight) for target in route.targets]
+    if not sum(weights):
+        weights = [1.0] * len(weights)
+    return rng.choices([target.service for target in route.targets], weights)[0]
