Instances check the store's revision in turn and tell each other what it says

Ruled out: a 410 that was not followed by a list, a stale list. Now the instances take turns to ask for the revision, list what the watches missed, and share it as facts. Peers run without keys where the platform gives none.

--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.beliefs import Beliefs
@@ -20,13 +21,23 @@
 WATCH_SECONDS = 20.0
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
+FLEET_CHECK_SECONDS = 0.7
+WATCH_LAG_SECONDS = 0.15
 
 
 class StoreFollower:
     """Lists each kind once, then watches it; lists again where history was lost.
 
     Entries that lapsed while the store was away may come back, so absence counts as removal
-    only some time after its return.
+    only some time after its return. A watch may hear nothing for seconds while changes are made,
+    so the instances take turns to ask for the store's revision, and list what the watches missed.
+
+    Attributes
+    ----------
+    instances_alive : callable
+        Number of instances that take turns.
+    highest_seen : int
+        Greatest store revision that any answer or peer has told.
     """
 
     def __init__(
@@ -36,12 +47,15 @@
         recheck_seconds: float,
         metrics: Metrics,
         rng: random.Random,
+        instances_alive: Callable[[], int],
     ) -> None:
         self.store = store
         self.beliefs = beliefs
         self.recheck_seconds = recheck_seconds
         self.metrics = metrics
         self.rng = rng
+        self.instances_alive = instances_alive
+        self.highest_seen = 0
         self.tasks = TaskSet()
         self.away_since: dict[WatchedKind, float] = {}
         self.recheck_until = 0.0
@@ -51,6 +65,7 @@
         """Begin to follow every kind."""
         for kind in WatchedKind:
             self.tasks.spawn(self.follow(kind), f"follow {kind}")
+        self.tasks.spawn(self.check_revision(), "check revision")
 
     async def close(self) -> None:
         """Stop."""
@@ -77,11 +92,19 @@
                 await asyncio.sleep(pause * self.rng.uniform(0.5, 1.5))
                 pause = min(LONGEST_RETRY_SECONDS, pause * 2)
 
-    async def read_all(self, kind: WatchedKind) -> int:
-        """List a kind and take it as the whole truth."""
+    async def read_all(self, kind: WatchedKind, seen: int | None = None) -> int:
+        """List a kind and take it as the whole truth; return the store's revision.
+
+        Parameters
+        ----------
+        seen : int, optional
+            What to keep as the greatest revision seen, if the list is only a check.
+        """
         self.metrics.count("store_lists")
         listing = await self.store.list(kind)
         self.note_back(kind)
+        if seen is None:
+            self.highest_seen = max(self.highest_seen, listing.revision)
         listed = {item.name for item in listing.items}
         gone = [
             WatchedItem(name, listing.revision, None)
@@ -96,9 +119,36 @@
         self.metrics.count("store_watches")
         changes = await self.store.watch(kind, revision, WATCH_SECONDS)
         self.note_back(kind)
+        self.highest_seen = max(self.highest_seen, changes.revision)
         self.take(kind, changes)
         return max(revision, changes.revision)
 
+    async def check_revision(self) -> None:
+        """Ask now and then whether the store is ahead of what the watches told."""
+        while True:
+            turn = FLEET_CHECK_SECONDS * self.instances_alive()
+            await asyncio.sleep(turn * self.rng.uniform(0.6, 1.4))
+            try:
+                await self.catch_up()
+            except Problem as problem:
+                self.metrics.count("store_checks_failed")
+                json_log.change("store check failed", error=problem.message)
+
+    async def catch_up(self) -> None:
+        """List everything if the store has a change that no watch delivers."""
+        seen = self.highest_seen
+        revision = await self.read_all(WatchedKind.DOMAINS_OUT, seen)
+        if revision <= seen:
+            return
+        await asyncio.sleep(WATCH_LAG_SECONDS)
+        if revision <= self.highest_seen:
+            return
+        self.metrics.count("store_changes_missed")
+        json_log.change("watches are behind", revision=revision, seen=self.highest_seen)
+        for kind in WatchedKind:
+            await self.read_all(kind, revision)
+        self.highest_seen = max(self.highest_seen, revision)
+
     def take(self, kind: WatchedKind, changes: WatchedItems) -> None:
         """Believe changes, but hold absence back while lapsed entries may return."""
         for item in changes.items:
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -16,6 +16,7 @@
 from mimosahoist.forward.fleet import UpstreamFleet
 from mimosahoist.forward.follower import StoreFollower
 from mimosahoist.forward.front import CallerFront
+from mimosahoist.forward.peers import Peers
 from mimosahoist.forward.merge import RecordMerger
 from mimosahoist.platform.watched import WatchedKind
 
@@ -25,6 +26,7 @@
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.declarations import SharedBounds
     from mimosahoist.forward.headers import HeaderNames
+    from mimosahoist.peers.transport import PeerTransport
     from mimosahoist.platform.watched import WatchedItem, WatchedStore
 
 UNLIMITED_BYTES = 1 << 30
@@ -57,6 +59,7 @@
         bounds: SharedBounds,
         names: HeaderNames,
         store: WatchedStore,
+        peer_transport: PeerTransport,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -73,8 +76,15 @@
         self.engine = ForwardEngine(
             self.fleet, names, RecordMerger(), settings.failure_domain, self.metrics, rng
         )
+        self.peers = Peers(settings, peer_transport, self.beliefs, self.metrics, rng)
+        self.peers.member_listeners.append(self.count_instances)
         self.follower = StoreFollower(
-            store, self.beliefs, bounds.recheck_seconds, self.metrics, rng
+            store,
+            self.beliefs,
+            bounds.recheck_seconds,
+            self.metrics,
+            rng,
+            self.peers.alive,
         )
         self.dispatcher = Dispatcher(self.beliefs, self.engine, names, self.metrics)
         self.front = CallerFront(self.dispatcher)
@@ -84,6 +94,7 @@
     async def start(self) -> None:
         """Start all parts and listen."""
         await self.store.start()
+        await self.peers.start()
         await self.follower.start()
         self.callers = HTTPServer(
             self.front, max_header_size=MAX_HEADER_BYTES, max_body_size=UNLIMITED_BYTES
@@ -107,6 +118,10 @@
         if kind is WatchedKind.CONFIGURATION:
             self.callers.conn_params.header_timeout = self.dispatcher.limits.idle_timeout
 
+    def count_instances(self) -> None:
+        """Divide shared limits by all instances that may still be at work."""
+        self.fleet.set_instances(max(self.settings.instances_expected, self.peers.possibly_alive()))
+
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
@@ -123,6 +138,7 @@
         latest = began + self.bounds.grace_seconds - DRAIN_MARGIN_SECONDS
         while self.front.open_requests and now() < latest:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.peers.leave()
         json_log.change("drained", open_requests=self.front.open_requests)
 
     async def close(self) -> None:
@@ -133,6 +149,7 @@
         await self.follower.close()
         await self.front.tasks.close()
         await self.engine.close()
+        await self.peers.close()
         await self.store.close()
         for server in self.servers:
             await server.close_all_connections()
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -0,0 +1,133 @@
+"""What instances tell each other: who they are, and what the store has said."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from mimosahoist.forward.declarations import Configuration, RolloutOrder, UpstreamRecord
+from mimosahoist.peers.exchange import Identity, PeerExchange
+from mimosahoist.peers.facts import FactBoard, FactKind
+from mimosahoist.peers.members import MemberState
+from mimosahoist.platform.versioned import VersionedCopy
+from mimosahoist.platform.watched import WatchedItem, WatchedKind
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.forward.beliefs import Beliefs
+    from mimosahoist.forward.instance import InstanceSettings
+    from mimosahoist.peers.transport import PeerTransport
+
+CLUSTER = "mimosahoist"
+BELIEF_PREFIX = "belief/"
+VALUE_TYPES: dict[WatchedKind, Any] = {
+    WatchedKind.CONFIGURATION: Configuration,
+    WatchedKind.UPSTREAMS: UpstreamRecord,
+    WatchedKind.DOMAINS_OUT: str,
+    WatchedKind.ROLLOUTS: RolloutOrder,
+}
+
+
+class BeliefFacts(FactKind):
+    """Objects of the store: revision and encoded value; the later revision wins."""
+
+    prefix = BELIEF_PREFIX
+
+    def valid(self, value: Any) -> bool:
+        """Check the form of a record."""
+        return (
+            isinstance(value, list | tuple)
+            and len(value) == 2
+            and isinstance(value[0], int)
+            and isinstance(value[1], bytes)
+        )
+
+    def join(self, held: Any, received: Any) -> Any:
+        """Keep the later record; of one revision the greater bytes, so that all agree."""
+        return max(list(held), list(received))
+
+
+class Peers:
+    """Membership and the exchange of beliefs."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        transport: PeerTransport,
+        beliefs: Beliefs,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.beliefs = beliefs
+        self.metrics = metrics
+        self.board = FactBoard()
+        self.exchange = PeerExchange(
+            Identity(
+                CLUSTER,
+                settings.name,
+                int(time.time() * 1000),
+                settings.peer_address,
+                settings.callers_address,
+                settings.failure_domain,
+            ),
+            transport,
+            self.board,
+            VersionedCopy(),
+            VersionedCopy(),
+            metrics,
+            rng,
+            list(settings.peer_seeds),
+        )
+        self.member_listeners: list[Callable[[], None]] = []
+        self.board.register(BeliefFacts(), self.handle_belief)
+        self.beliefs.listeners.append(self.publish_belief)
+        self.exchange.member_listeners.append(self.handle_member)
+
+    async def start(self) -> None:
+        """Join the others."""
+        await self.exchange.start()
+
+    async def leave(self) -> None:
+        """Tell the others that this instance leaves."""
+        await self.exchange.leave()
+
+    async def close(self) -> None:
+        """Stop taking part."""
+        await self.exchange.close()
+
+    def alive(self) -> int:
+        """Instances that answer probes, this one included."""
+        members = self.exchange.members().values()
+        return max(1, sum(member.state == MemberState.ALIVE for member in members))
+
+    def possibly_alive(self) -> int:
+        """Instances that may be at work, also beyond a cut: all that have not said they left."""
+        members = self.exchange.members().values()
+        return sum(member.state != MemberState.LEFT for member in members)
+
+    def handle_member(self, name: str, member: Any) -> None:
+        """Tell listeners that the membership changed."""
+        for listener in self.member_listeners:
+            listener()
+
+    def publish_belief(self, kind: WatchedKind, item: WatchedItem) -> None:
+        """Tell the others what was learned from the store."""
+        value = [item.revision, msgspec.msgpack.encode(item.value)]
+        self.board.publish(f"{BELIEF_PREFIX}{kind}/{item.name}", value, urgent=True)
+
+    def handle_belief(self, key: str, value: Any) -> None:
+        """Take what another instance has learned from the store."""
+        kind_name, _, name = key[len(BELIEF_PREFIX) :].partition("/")
+        try:
+            kind = WatchedKind(kind_name)
+            decoded = msgspec.msgpack.decode(value[1], type=VALUE_TYPES[kind] | None)
+        except (ValueError, msgspec.MsgspecError):
+            self.metrics.count("peer_beliefs_unreadable")
+            return
+        if self.beliefs.take(kind, WatchedItem(name, value[0], decoded)):
+            self.metrics.count("beliefs_from_peers")
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -173,8 +173,13 @@
         self.tell_listeners(name, member)
 
     def refute(self, member: Member) -> None:
-        """Contradict an accusation against this instance."""
-        if member.state == MemberState.ALIVE or member.state == MemberState.LEFT:
+        """Contradict an accusation against this instance.
+
+        A record of an earlier start that left counts too, if its incarnation is not below this
+        one's, as the time of day may have jumped back between the two starts.
+        """
+        own_leave = member.state == MemberState.LEFT and member.incarnation == self.incarnation
+        if member.state == MemberState.ALIVE or own_leave:
             return
         self.metrics.count("peer_refutations")
         self.prober.raise_penalty()
--- a/libs/peers/src/mimosahoist/peers/zmq_transport.py
+++ b/libs/peers/src/mimosahoist/peers/zmq_transport.py
@@ -46,9 +46,12 @@
 
 
 class ZmqPeerTransport(PeerTransport):
-    """A ROUTER socket for receiving and a DEALER socket for each peer."""
+    """A ROUTER socket for receiving and a DEALER socket for each peer.
 
-    def __init__(self, bind: str, keys: ClusterKeys, metrics: Metrics) -> None:
+    Without keys the sockets are plain, for networks that only instances can reach.
+    """
+
+    def __init__(self, bind: str, keys: ClusterKeys | None, metrics: Metrics) -> None:
         self.bind = bind
         self.keys = keys
         self.metrics = metrics
@@ -61,20 +64,25 @@
 
     async def start(self, handler: Callable[[bytes], None]) -> None:
         """Bind and begin to receive."""
-        self.authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self.context)
-        self.authenticator.start()
-        checker = KeyChecker(self.keys.public, self.metrics)
-        self.authenticator.configure_curve_callback(credentials_provider=checker)
         self.receiver = self.context.socket(zmq.ROUTER)
         self.receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self.receiver.setsockopt(zmq.LINGER, 0)
-        self.receiver.curve_server = True
-        self.receiver.curve_secretkey = self.keys.secret.encode()
-        self.receiver.curve_publickey = self.keys.public.encode()
+        if self.keys is not None:
+            self.demand_keys(self.keys)
         self.receiver.bind(f"tcp://{self.bind}")
         self.plain_context = zmq.Context.shadow(self.context.underlying)
         self.tasks.spawn(self.receive(handler), "peer receiver")
 
+    def demand_keys(self, keys: ClusterKeys) -> None:
+        """Let only holders of the cluster's key connect."""
+        self.authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self.context)
+        self.authenticator.start()
+        checker = KeyChecker(keys.public, self.metrics)
+        self.authenticator.configure_curve_callback(credentials_provider=checker)
+        self.receiver.curve_server = True
+        self.receiver.curve_secretkey = keys.secret.encode()
+        self.receiver.curve_publickey = keys.public.encode()
+
     async def close(self) -> None:
         """Close all sockets."""
         await self.tasks.close()
@@ -115,9 +123,10 @@
         sender.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
         sender.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         sender.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-        sender.curve_serverkey = self.keys.public.encode()
-        sender.curve_publickey = self.keys.public.encode()
-        sender.curve_secretkey = self.keys.secret.encode()
+        if self.keys is not None:
+            sender.curve_serverkey = self.keys.public.encode()
+            sender.curve_publickey = self.keys.public.encode()
+            sender.curve_secretkey = self.keys.secret.encode()
         sender.connect(f"tcp://{address}")
         self.senders[address] = sender
         return sender
