--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -70,9 +70,13 @@
     async def call(self, upstream: Upstream, request: CallerRequest, until: float) -> CallOutcome:
         """Send one call and learn from its outcome."""
         self.metrics.count("calls")
+        if upstream.record.failure_domain != self.failure_domain:
+            self.metrics.count("calls_to_other_domains")
         outcome = await upstream.call(request, until)
         self.metrics.count(f"calls_{type(outcome).__name__.lower()}")
         if isinstance(outcome, Answered):
+            if upstream.record.failure_domain != self.failure_domain:
+                self.metrics.count("bytes_from_other_domains", len(outcome.body))
             self.learn(upstream, request.route, outcome)
         elif isinstance(outcome, Refused) and outcome.other_instance:
             self.fleet.remove(upstream.record.name, "another instance has its address")
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -26,6 +26,7 @@
 
 RETURN_SECONDS = 0.008
 LOSER_SECONDS = 0.4
+DESCRIBED_SHARDS = 3
 ROOM_RETRY_SECONDS = 0.02
 RETRY_AFTER_SECONDS = (0.05, 0.25)
 
@@ -177,12 +178,22 @@
             body = self.engine.merger.merge([part.body for part in parts], self.route.result_limit)
             signatures = [part.headers[self.engine.names.signature] for part in parts]
             return Gathered(body, signatures, len(self.shards) - len(parts))
-        missing = [shard.service for shard in self.shards if shard.part is None]
-        reason = f"no answer of {len(missing)} shards, such as {missing[0]}"
+        missing = [shard for shard in self.shards if shard.part is None]
+        idle = [shard for shard in missing if not shard.calls] or missing
+        reason = f"no answer of {len(missing)} shards, {len(idle)} without a call: "
+        reason += "; ".join(self.describe(shard) for shard in idle[:DESCRIBED_SHARDS])
         if not any(shard.runs or shard.calls or shard.part for shard in self.shards):
             return NotRun(reason, self.engine.rng.uniform(*RETRY_AFTER_SECONDS))
         return Failed(reason, timed_out=now() >= self.request.deadline)
 
+    def describe(self, shard: ShardSearch) -> str:
+        """Why a shard has no call under way, for the log."""
+        at = now()
+        upstreams = self.engine.fleet.of(shard.service)
+        states = [f"{upstream.record.name} {upstream.state(at)}" for upstream in upstreams]
+        tried = f"{shard.sends} sent, {shard.runs} run"
+        return f"{shard.service} ({tried}): {', '.join(states) or 'none listed'}"
+
     def log_failed_call(
         self, shard: ShardSearch, upstream: Upstream, outcome: CallOutcome
     ) -> None:
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -34,6 +34,7 @@
 DRAIN_NOTICE_SECONDS = 2.5
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.02
+COUNTERS_SECONDS = 10.0
 
 
 class InstanceSettings(NamedTuple):
@@ -111,6 +112,7 @@
             server = HTTPServer(status)
             listen_on(server, address)
             self.servers.append(server)
+        self.tasks.spawn(self.log_counters(), "log counters")
         json_log.change("listening", address=self.settings.callers_address)
 
     def handle_belief(self, kind: WatchedKind, item: WatchedItem) -> None:
@@ -118,6 +120,12 @@
         if kind is WatchedKind.CONFIGURATION:
             self.callers.conn_params.header_timeout = self.dispatcher.limits.idle_timeout
 
+    async def log_counters(self) -> None:
+        """Log all counters now and then, so that a log alone tells rates."""
+        while True:
+            await asyncio.sleep(COUNTERS_SECONDS)
+            json_log.change("counters", **self.metrics.counters)
+
     def count_instances(self) -> None:
         """Divide shared limits by all instances that may still be at work."""
         self.fleet.set_instances(max(self.settings.instances_expected, self.peers.possibly_alive()))
@@ -138,8 +146,9 @@
         latest = began + self.bounds.grace_seconds - DRAIN_MARGIN_SECONDS
         while self.front.open_requests and now() < latest:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        await self.peers.leave()
         json_log.change("drained", open_requests=self.front.open_requests)
+        await self.callers.close_all_connections()
+        await self.peers.leave()
 
     async def close(self) -> None:
         """Stop all parts."""
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -125,6 +125,16 @@
             return False
         return not self.cold(at) or self.cold_room(at)
 
+    def state(self, at: float) -> str:
+        """What keeps calls away, for logs; ``open`` if nothing does."""
+        if self.gone or self.record.leaving:
+            return "leaving"
+        if at < self.health.ejected_until:
+            return f"ejected {self.health.ejected_until - at:.2f} s, streak {self.health.streak}"
+        if self.cold(at):
+            return f"cold {self.cold_until - at:.2f} s"
+        return "open" if self.has_room(at) else f"full with {len(self.in_flight)}"
+
     def oldest_age(self, at: float) -> float:
         """Seconds since the longest unfinished call began; 0 if there is none."""
         return at - min(self.in_flight.values()) if self.in_flight else 0.0
