--- a/libs/forward/src/mimosahoist/forward/choice.py
+++ b/libs/forward/src/mimosahoist/forward/choice.py
@@ -14,6 +14,7 @@
 FAILURE_PENALTY = 4.0
 STALL_PENALTY = 6.0
 COLD_PENALTY = 3.0
+OUT_OF_REACH_PENALTY = 50.0
 STALL_MULTIPLE = 2.5
 STALL_SLACK_SECONDS = 0.015
 COMFORTABLE_OCCUPANCY = 0.7
@@ -27,12 +28,15 @@
     ----------
     typical : float
         Typical answer time of the route, in seconds.
+    domains_out, out_of_reach : frozenset of str
+        Failure domains that operators have taken out, and those that seem cut off.
     """
 
     at: float
     typical: float
     failure_domain: str
     domains_out: frozenset[str]
+    out_of_reach: frozenset[str]
     rng: random.Random
 
 
@@ -49,6 +53,8 @@
         total += STALL_PENALTY
     if upstream.record.failure_domain != context.failure_domain:
         total += OTHER_DOMAIN_PENALTY
+    if upstream.record.failure_domain in context.out_of_reach:
+        total += OUT_OF_REACH_PENALTY
     if upstream.cold(context.at):
         total += COLD_PENALTY
     return total * (1.0 + JITTER * context.rng.random())
--- a/libs/forward/src/mimosahoist/forward/completion.py
+++ b/libs/forward/src/mimosahoist/forward/completion.py
@@ -1,8 +1,9 @@
 """When a gathering search is answered: decision without any network.
 
 An answer earns by the square of its coverage while its aim holds, and little later. So a search
-waits for all parts until just before the aim, then takes what it has if the floor is met. It
-never waits for shards of which no call is under way.
+waits for all parts until just before the aim, then takes what it has if the floor is met. It does
+not wait for shards that have shown no sign of life, unless the floor cannot be met without them.
+The load it answers: shards that pause, are slow, full for a moment, dark or lost.
 """
 
 from __future__ import annotations
@@ -18,8 +19,9 @@
 
     Attributes
     ----------
-    answered, hopeful, total : int
-        Shards with a part, shards of which a call is under way, all shards.
+    answered, hopeful, doubtful, total : int
+        Shards with a part; shards of which a call is under way or an upstream will soon have
+        room; shards whose upstreams all failed just now but may come back; all shards.
     needed : int
         Parts without which the answer is no success.
     cut : float
@@ -28,6 +30,7 @@
 
     answered: int
     hopeful: int
+    doubtful: int
     total: int
     needed: int
     arrived: float
@@ -60,16 +63,18 @@
 
 def decide(progress: Progress, at: float) -> Decision:
     """Answer, fail or wait."""
-    enough = progress.answered >= progress.needed
-    reachable = progress.answered + progress.hopeful >= progress.needed
     if progress.answered == progress.total:
         return Decision(Verdict.ANSWER)
-    if progress.hopeful == 0 or at >= progress.deadline:
+    enough = progress.answered >= progress.needed
+    if at >= progress.deadline:
         return Decision(Verdict.ANSWER if enough else Verdict.FAIL)
-    if not reachable:
-        return Decision(Verdict.FAIL)
     if not enough:
+        possible = progress.answered + progress.hopeful + progress.doubtful
+        if possible < progress.needed:
+            return Decision(Verdict.FAIL)
         return Decision(Verdict.WAIT, progress.deadline)
+    if progress.hopeful == 0:
+        return Decision(Verdict.ANSWER)
     cut = progress.cut
     if cut <= progress.arrived:
         cut = progress.arrived + LATE_PATIENCE * max(0.0, progress.deadline - progress.arrived)
--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -24,6 +24,7 @@
     from mimosahoist.forward.headers import HeaderNames
 
 NO_CONFIGURATION = NotRun("no configuration is known yet", 0.5)
+CUT_OFF = NotRun("too few upstreams are within reach of this instance", 0.05)
 CALLER_TRIP_SECONDS = 0.008
 ANSWER_SECONDS = 0.01
 
@@ -58,6 +59,8 @@
             return NO_ROUTE
         if not headers.get(self.names.request_id):
             return NO_REQUEST_ID
+        if self.engine.reach.out_of_reach and not self.engine.within_reach(route):
+            return CUT_OFF
         request = self.make_request(route, method, target, headers, body)
         if route.shards:
             return await Gather(self.engine, request).run()
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.choice import ChoiceContext, choose
-from mimosahoist.forward.outcomes import Answered, Refused, Unreached
+from mimosahoist.forward.completion import needed_parts
+from mimosahoist.forward.domain_reach import DomainReach
+from mimosahoist.forward.outcomes import Answered, Lost, Refused, Unreached
 from mimosahoist.forward.route_timing import RouteTiming
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterable
 
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.declarations import Route
@@ -22,6 +26,14 @@
     from mimosahoist.forward.upstream import Upstream
 
 
+class Outlook(enum.Enum):
+    """Whether a service without a free upstream will have one soon."""
+
+    SOON = "soon"
+    DOUBTFUL = "doubtful"
+    NONE = "none"
+
+
 class ForwardEngine:
     """Chooses upstreams, sends calls and keeps what they teach."""
 
@@ -41,6 +53,7 @@
         self.metrics = metrics
         self.rng = rng
         self.tasks = TaskSet()
+        self.reach = DomainReach(failure_domain)
         self.timings: dict[str, RouteTiming] = {}
 
     async def close(self) -> None:
@@ -63,10 +76,42 @@
             self.timing(route).median.value,
             self.failure_domain,
             self.fleet.domains_out,
+            self.reach.out_of_reach,
             self.rng,
         )
         return choose(self.fleet.of(service), tried, context)
 
+    def within_reach(self, route: Route) -> bool:
+        """Whether enough of a route's services have an upstream that no cut hides."""
+        services = route.shards or tuple(target.service for target in route.targets)
+        reached = sum(
+            any(
+                upstream.record.failure_domain not in self.reach.out_of_reach
+                for upstream in self.fleet.of(service)
+            )
+            for service in services
+        )
+        return reached >= needed_parts(len(services), route.min_coverage if route.shards else 0.0)
+
+    def outlook(self, service: str, tried: set[str]) -> Outlook:
+        """What to expect of a service none of whose upstreams can be chosen now."""
+        at = now()
+        listed = [
+            upstream
+            for upstream in self.fleet.of(service)
+            if not (upstream.gone or upstream.record.leaving)
+            and upstream.record.failure_domain not in self.fleet.domains_out
+        ]
+        waiting = [item for item in listed if item.record.name not in tried]
+        if any(item.health.ejected_until <= at and item.answering for item in waiting):
+            return Outlook.SOON
+        return Outlook.DOUBTFUL if listed else Outlook.NONE
+
+    def note_overdue(self, upstreams: Iterable[Upstream]) -> None:
+        """Take calls that were not answered in the usual time as a doubt about their domains."""
+        for upstream in upstreams:
+            self.reach.note_failure(upstream.record.failure_domain, now())
+
     async def call(self, upstream: Upstream, request: CallerRequest, until: float) -> CallOutcome:
         """Send one call and learn from its outcome."""
         self.metrics.count("calls")
@@ -74,6 +119,10 @@
             self.metrics.count("calls_to_other_domains")
         outcome = await upstream.call(request, until)
         self.metrics.count(f"calls_{type(outcome).__name__.lower()}")
+        if isinstance(outcome, Answered | Refused):
+            self.reach.note_answer(upstream.record.failure_domain, now())
+        elif isinstance(outcome, Lost | Unreached):
+            self.reach.note_failure(upstream.record.failure_domain, now())
         if isinstance(outcome, Answered):
             if upstream.record.failure_domain != self.failure_domain:
                 self.metrics.count("bytes_from_other_domains", len(outcome.body))
--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from mimosahoist.core import json_log
@@ -21,10 +22,23 @@
 WATCH_SECONDS = 20.0
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
-FLEET_CHECK_SECONDS = 0.7
+FLEET_CHECK_SECONDS = 0.5
+ROLE_CHECK_SECONDS = 0.2
 WATCH_LAG_SECONDS = 0.15
 
 
+class FleetView(ABC):
+    """What a follower needs to know of the other instances."""
+
+    @abstractmethod
+    def alive(self) -> int:
+        """Instances that answer probes, this one included."""
+
+    @abstractmethod
+    def watches(self) -> bool:
+        """Whether this instance watches the store for others too."""
+
+
 class StoreFollower:
     """Lists each kind once, then watches it; lists again where history was lost.
 
@@ -32,10 +46,14 @@
     only some time after its return. A watch may hear nothing for seconds while changes are made,
     so the instances take turns to ask for the store's revision, and list what the watches missed.
 
+    Only some instances watch; the others hear of changes from them, and check in turn like all.
+
     Attributes
     ----------
-    instances_alive : callable
-        Number of instances that take turns.
+    fleet_view : FleetView
+        How many instances take turns, and whether this one watches.
+    outage_listeners : list of callable
+        Called when the store is back after it did not answer.
     highest_seen : int
         Greatest store revision that any answer or peer has told.
     """
@@ -47,14 +65,15 @@
         recheck_seconds: float,
         metrics: Metrics,
         rng: random.Random,
-        instances_alive: Callable[[], int],
+        fleet_view: FleetView,
     ) -> None:
         self.store = store
         self.beliefs = beliefs
         self.recheck_seconds = recheck_seconds
         self.metrics = metrics
         self.rng = rng
-        self.instances_alive = instances_alive
+        self.fleet_view = fleet_view
+        self.outage_listeners: list[Callable[[], None]] = []
         self.highest_seen = 0
         self.tasks = TaskSet()
         self.away_since: dict[WatchedKind, float] = {}
@@ -83,8 +102,10 @@
             try:
                 revision = await self.read_all(kind)
                 pause = FIRST_RETRY_SECONDS
-                while True:
+                while self.fleet_view.watches():
                     revision = await self.read_changes(kind, revision)
+                while not self.fleet_view.watches():
+                    await asyncio.sleep(ROLE_CHECK_SECONDS)
             except HistoryLost:
                 self.metrics.count("store_history_lost")
             except Problem as problem:
@@ -126,13 +147,13 @@
     async def check_revision(self) -> None:
         """Ask now and then whether the store is ahead of what the watches told."""
         while True:
-            turn = FLEET_CHECK_SECONDS * self.instances_alive()
+            turn = FLEET_CHECK_SECONDS * self.fleet_view.alive()
             await asyncio.sleep(turn * self.rng.uniform(0.6, 1.4))
             try:
                 await self.catch_up()
             except Problem as problem:
                 self.metrics.count("store_checks_failed")
-                json_log.change("store check failed", error=problem.message)
+                self.note_away(WatchedKind.DOMAINS_OUT, problem)
 
     async def catch_up(self) -> None:
         """List everything if the store has a change that no watch delivers."""
@@ -170,9 +191,15 @@
         since = self.away_since.pop(kind, None)
         if since is None:
             return
+        json_log.change("store back", kind=str(kind), away_seconds=round(now() - since, 2))
+        self.hold_absence()
+        for listener in self.outage_listeners:
+            listener()
+
+    def hold_absence(self) -> None:
+        """Hold absence back from now on, as entries may have lapsed during an outage."""
         self.recheck_until = now() + self.recheck_seconds
         asyncio.get_running_loop().call_at(self.recheck_until, self.believe_absence)
-        json_log.change("store back", kind=str(kind), away_seconds=round(now() - since, 2))
 
     def believe_absence(self) -> None:
         """Take entries as gone that did not come back in time."""
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from tornado.http1connection import HTTP1Connection
+    from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
     from tornado.httputil import RequestStartLine
 
     from mimosahoist.forward.dispatcher import Dispatcher
@@ -58,25 +58,44 @@
         self.draining = False
         self.open_requests = 0
         self.tasks = TaskSet()
-        self.connections: set[object] = set()
+        self.connections: set[HTTP1ServerConnection] = set()
+        self.busy: set[HTTP1ServerConnection] = set()
 
     def start_request(
-        self, server_conn: object, request_conn: HTTP1Connection
+        self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Begin to read one request."""
         self.connections.add(server_conn)
-        return CallerMessage(self, request_conn)
+        self.busy.discard(server_conn)
+        return CallerMessage(self, server_conn, request_conn)
 
-    def on_close(self, server_conn: object) -> None:
+    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Forget a closed connection."""
         self.connections.discard(server_conn)
+        self.busy.discard(server_conn)
+
+    def close_idle(self) -> None:
+        """Close all connections that carry no request, in one step.
+
+        Between two steps a request could be read on a connection that is about to be closed.
+        """
+        for connection in self.connections - self.busy:
+            connection.stream.close()
+
+    def close_all(self) -> None:
+        """Close all connections in one step."""
+        for connection in list(self.connections):
+            connection.stream.close()
 
 
 class CallerMessage(HTTPMessageDelegate):
     """One request of a caller."""
 
-    def __init__(self, front: CallerFront, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, front: CallerFront, carrier: HTTP1ServerConnection, connection: HTTP1Connection
+    ) -> None:
         self.front = front
+        self.carrier = carrier
         self.connection = connection
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
@@ -87,6 +106,7 @@
 
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Check the sizes that are told, before any of the body is read."""
+        self.front.busy.add(self.carrier)
         self.start_line = start_line
         self.headers = headers
         limits = self.front.dispatcher.limits
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -8,13 +8,14 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.completion import Progress, Verdict, decide, needed_parts
-from mimosahoist.forward.engine import certainly_not_run
+from mimosahoist.forward.engine import Outlook, certainly_not_run
 from mimosahoist.forward.outcomes import (
     Answered,
     CallOutcome,
     Failed,
     Gathered,
     NotRun,
+    Refused,
     RequestOutcome,
     Unreached,
 )
@@ -43,11 +44,6 @@
         self.sends = 0
         self.next_send = 0.0
 
-    @property
-    def hopeful(self) -> bool:
-        """Whether a call is under way that may bring the part."""
-        return self.part is None and bool(self.calls)
-
 
 class Gather:
     """Sends a request to one upstream of each shard and merges the parts.
@@ -70,8 +66,8 @@
         """Search until the decision is to answer."""
         delay = self.engine.timing(self.route).hedge_delay(self.cut - now())
         for shard in self.shards:
-            shard.next_send = now() + delay
-            self.send(shard)
+            sent = self.send(shard)
+            shard.next_send = now() + (delay if sent else ROOM_RETRY_SECONDS)
         try:
             while True:
                 self.send_due()
@@ -85,11 +81,20 @@
 
     def progress(self) -> Progress:
         """State for the decision."""
-        answered = sum(shard.part is not None for shard in self.shards)
-        hopeful = sum(shard.hopeful for shard in self.shards)
+        answered = hopeful = doubtful = 0
+        for shard in self.shards:
+            if shard.part is not None:
+                answered += 1
+            elif shard.calls:
+                hopeful += 1
+            elif shard.runs < self.route.max_attempts:
+                outlook = self.engine.outlook(shard.service, shard.tried)
+                hopeful += outlook is Outlook.SOON
+                doubtful += outlook is Outlook.DOUBTFUL
         return Progress(
             answered,
             hopeful,
+            doubtful,
             len(self.shards),
             self.needed,
             self.request.arrived,
@@ -115,6 +120,7 @@
         for shard in self.shards:
             if shard.part is None and at >= shard.next_send:
                 if shard.calls:
+                    self.engine.note_overdue(shard.calls.values())
                     self.hedges += self.send(shard)
                     shard.next_send = self.request.deadline
                 else:
@@ -158,7 +164,10 @@
             shard.runs += 1
         if shard.part is None and not self.finished():
             self.log_failed_call(shard, upstream, outcome)
-            self.send(shard)
+            if isinstance(outcome, Refused):
+                shard.tried.discard(upstream.record.name)
+            if not self.send(shard) and not shard.calls:
+                shard.next_send = now() + ROOM_RETRY_SECONDS
 
     def finished(self) -> bool:
         """Whether nobody waits for parts any more."""
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -24,7 +24,7 @@
     import random
 
     from mimosahoist.core.metrics import Metrics
-    from mimosahoist.forward.declarations import SharedBounds
+    from mimosahoist.forward.declarations import Route, SharedBounds
     from mimosahoist.forward.headers import HeaderNames
     from mimosahoist.peers.transport import PeerTransport
     from mimosahoist.platform.watched import WatchedItem, WatchedStore
@@ -35,6 +35,7 @@
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.02
 COUNTERS_SECONDS = 10.0
+REACH_SECONDS = 0.25
 
 
 class InstanceSettings(NamedTuple):
@@ -85,12 +86,15 @@
             bounds.recheck_seconds,
             self.metrics,
             rng,
-            self.peers.alive,
+            self.peers,
         )
+        self.follower.outage_listeners.append(self.peers.publish_outage)
+        self.peers.outage_listeners.append(self.follower.hold_absence)
         self.dispatcher = Dispatcher(self.beliefs, self.engine, names, self.metrics)
         self.front = CallerFront(self.dispatcher)
         self.servers: list[HTTPServer] = []
         self.draining = False
+        self.able = True
 
     async def start(self) -> None:
         """Start all parts and listen."""
@@ -112,6 +116,7 @@
             server = HTTPServer(status)
             listen_on(server, address)
             self.servers.append(server)
+        self.tasks.spawn(self.watch_reach(), "watch reach")
         self.tasks.spawn(self.log_counters(), "log counters")
         json_log.change("listening", address=self.settings.callers_address)
 
@@ -130,10 +135,38 @@
         """Divide shared limits by all instances that may still be at work."""
         self.fleet.set_instances(max(self.settings.instances_expected, self.peers.possibly_alive()))
 
+    async def watch_reach(self) -> None:
+        """Keep the belief about cuts and about what can be served."""
+        while True:
+            await asyncio.sleep(REACH_SECONDS)
+            at = now()
+            for domain in self.peers.domains_heard(at - REACH_SECONDS):
+                self.engine.reach.note_peer(domain, at)
+            self.engine.reach.review(at)
+            able = not self.engine.reach.out_of_reach or self.can_serve()
+            if able != self.able:
+                json_log.change("able to serve", able=able)
+                self.able = able
+
+    def can_serve(self) -> bool:
+        """Whether every route can be served from the failure domains within reach.
+
+        If not, callers are better off at instances beyond the cut.
+        """
+        if self.beliefs.routes is None:
+            return False
+        return all(self.engine.within_reach(route) for route in self.gathering_routes())
+
+    def gathering_routes(self) -> list[Route]:
+        """Routes over shards, or all routes if there are none."""
+        routes = self.beliefs.routes.configuration.routes
+        return [route for route in routes if route.shards] or list(routes)
+
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return not self.draining and self.beliefs.routes is not None and bool(self.fleet.by_name)
+        known = self.beliefs.routes is not None and bool(self.fleet.by_name)
+        return known and self.able and not self.draining
 
     async def drain(self) -> None:
         """Stop gracefully: give notice, take no new connections, finish what is in flight."""
@@ -143,11 +176,12 @@
         json_log.change("draining", open_requests=self.front.open_requests)
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         self.callers.stop()
+        self.front.close_idle()
         latest = began + self.bounds.grace_seconds - DRAIN_MARGIN_SECONDS
         while self.front.open_requests and now() < latest:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         json_log.change("drained", open_requests=self.front.open_requests)
-        await self.callers.close_all_connections()
+        self.front.close_all()
         await self.peers.leave()
 
     async def close(self) -> None:
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import time
+import zlib
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+from mimosahoist.core.hashing import hash_text
+from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import Configuration, RolloutOrder, UpstreamRecord
+from mimosahoist.forward.follower import FleetView
 from mimosahoist.peers.exchange import Identity, PeerExchange
 from mimosahoist.peers.facts import FactBoard, FactKind
 from mimosahoist.peers.members import MemberState
@@ -25,6 +29,9 @@
 
 CLUSTER = "mimosahoist"
 BELIEF_PREFIX = "belief/"
+OUTAGE_KEY = "outages"
+WATCHERS = 3
+PEER_SILENCE_SECONDS = 1.0
 VALUE_TYPES: dict[WatchedKind, Any] = {
     WatchedKind.CONFIGURATION: Configuration,
     WatchedKind.UPSTREAMS: UpstreamRecord,
@@ -52,8 +59,28 @@
         return max(list(held), list(received))
 
 
-class Peers:
-    """Membership and the exchange of beliefs."""
+class OutageFacts(FactKind):
+    """Number of returns of the store after an outage, as far as anybody counted."""
+
+    prefix = OUTAGE_KEY
+
+    def valid(self, value: Any) -> bool:
+        """Check the form of a record."""
+        return isinstance(value, int)
+
+    def join(self, held: Any, received: Any) -> Any:
+        """Keep the greater number."""
+        return max(held, received)
+
+
+class Peers(FleetView):
+    """Membership and the exchange of beliefs.
+
+    Attributes
+    ----------
+    outage_listeners : list of callable
+        Called when another instance tells that the store is back after an outage.
+    """
 
     def __init__(
         self,
@@ -84,7 +111,9 @@
             list(settings.peer_seeds),
         )
         self.member_listeners: list[Callable[[], None]] = []
+        self.outage_listeners: list[Callable[[], None]] = []
         self.board.register(BeliefFacts(), self.handle_belief)
+        self.board.register(OutageFacts(), self.handle_outage)
         self.beliefs.listeners.append(self.publish_belief)
         self.exchange.member_listeners.append(self.handle_member)
 
@@ -105,11 +134,44 @@
         members = self.exchange.members().values()
         return max(1, sum(member.state == MemberState.ALIVE for member in members))
 
+    def watches(self) -> bool:
+        """Whether this instance is among the first in rendezvous order, or hears nobody.
+
+        An instance that is cut off from the others cannot know what they know.
+        """
+        if now() - self.exchange.last_contact > PEER_SILENCE_SECONDS:
+            return True
+        own_rank = hash_text(self.exchange.identity.instance)
+        ahead = sum(
+            member.state == MemberState.ALIVE and hash_text(name) > own_rank
+            for name, member in self.exchange.members().items()
+        )
+        return ahead < WATCHERS
+
+    def publish_outage(self) -> None:
+        """Tell the others that the store is back after an outage."""
+        count = self.board.value(OUTAGE_KEY) or 0
+        self.board.publish(OUTAGE_KEY, count + 1, urgent=True)
+
+    def handle_outage(self, key: str, value: Any) -> None:
+        """Tell listeners that the store is back after an outage."""
+        for listener in self.outage_listeners:
+            listener()
+
     def possibly_alive(self) -> int:
         """Instances that may be at work, also beyond a cut: all that have not said they left."""
         members = self.exchange.members().values()
         return sum(member.state != MemberState.LEFT for member in members)
 
+    def domains_heard(self, since: float) -> set[str]:
+        """Failure domains of instances that spoke after a loop time."""
+        members = self.exchange.members()
+        return {
+            members[name].failure_domain
+            for name, at in self.exchange.heard_at.items()
+            if at >= since and name in members
+        }
+
     def handle_member(self, name: str, member: Any) -> None:
         """Tell listeners that the membership changed."""
         for listener in self.member_listeners:
@@ -117,7 +179,7 @@
 
     def publish_belief(self, kind: WatchedKind, item: WatchedItem) -> None:
         """Tell the others what was learned from the store."""
-        value = [item.revision, msgspec.msgpack.encode(item.value)]
+        value = [item.revision, zlib.compress(msgspec.msgpack.encode(item.value))]
         self.board.publish(f"{BELIEF_PREFIX}{kind}/{item.name}", value, urgent=True)
 
     def handle_belief(self, key: str, value: Any) -> None:
@@ -125,8 +187,9 @@
         kind_name, _, name = key[len(BELIEF_PREFIX) :].partition("/")
         try:
             kind = WatchedKind(kind_name)
-            decoded = msgspec.msgpack.decode(value[1], type=VALUE_TYPES[kind] | None)
-        except (ValueError, msgspec.MsgspecError):
+            encoded = zlib.decompress(value[1])
+            decoded = msgspec.msgpack.decode(encoded, type=VALUE_TYPES[kind] | None)
+        except (ValueError, zlib.error, msgspec.MsgspecError):
             self.metrics.count("peer_beliefs_unreadable")
             return
         if self.beliefs.take(kind, WatchedItem(name, value[0], decoded)):
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -125,6 +125,11 @@
             return False
         return not self.cold(at) or self.cold_room(at)
 
+    @property
+    def answering(self) -> bool:
+        """Whether the last calls were answered."""
+        return not self.health.on_probation
+
     def state(self, at: float) -> str:
         """What keeps calls away, for logs; ``open`` if nothing does."""
         if self.gone or self.record.leaving:
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -87,7 +87,9 @@
         self.cached_members: dict[str, Member] = {}
         self.cached_at = -1
         self.last_contact = 0.0
+        self.heard_at: dict[str, float] = {}
         self.push_scheduled = False
+        self.pushed = Position(0, 0, 0)
         self.member_listeners: list[Callable[[str, Member], None]] = []
         board.register(MemberFacts(), self.handle_member)
         board.register(ObservedFacts(), self.handle_observed)
@@ -191,6 +193,7 @@
         json_log.change("member", member=name, state=MemberState(member.state).name.lower())
         if not member.reachable:
             self.progress.forget(name)
+            self.heard_at.pop(name, None)
             self.transport.forget(member.peer_address)
         for listener in self.member_listeners:
             listener(name, member)
@@ -210,12 +213,14 @@
             asyncio.get_running_loop().call_soon(self.push)
 
     def push(self) -> None:
-        """Push recent changes to a few random peers."""
+        """Push what changed since the last push to a few random peers; probes carry the rest."""
         self.push_scheduled = False
         addresses = self.peer_addresses()
         chosen = self.rng.sample(sorted(addresses), min(URGENT_FANOUT, len(addresses)))
         for name in chosen:
-            self.send(name, addresses[name], FrameKind.PUSH, 0, self.progress.recent)
+            self.send(name, addresses[name], FrameKind.PUSH, 0, self.pushed)
+        if chosen:
+            self.pushed = self.progress.position()
 
     def send(
         self,
@@ -260,6 +265,7 @@
         if frame.sender == self.identity.instance:
             return
         self.last_contact = now()
+        self.heard_at[frame.sender] = self.last_contact
         self.merge(frame)
         self.answer(frame)
 
