--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -5,6 +5,7 @@
 import asyncio
 from http.client import responses
 from typing import TYPE_CHECKING
+from weakref import WeakSet
 
 from tornado.httputil import (
     HTTPHeaders,
@@ -58,8 +59,8 @@
         self.draining = False
         self.open_requests = 0
         self.tasks = TaskSet()
-        self.connections: set[HTTP1ServerConnection] = set()
-        self.busy: set[HTTP1ServerConnection] = set()
+        self.connections: WeakSet[HTTP1ServerConnection] = WeakSet()
+        self.busy: WeakSet[HTTP1ServerConnection] = WeakSet()
 
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
@@ -69,23 +70,20 @@
         self.busy.discard(server_conn)
         return CallerMessage(self, server_conn, request_conn)
 
-    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
-        """Forget a closed connection."""
-        self.connections.discard(server_conn)
-        self.busy.discard(server_conn)
+    @property
+    def open_connections(self) -> int:
+        """Connections of callers that are not closed."""
+        return sum(not connection.stream.closed() for connection in self.connections)
 
     def close_idle(self) -> None:
         """Close all connections that carry no request, in one step.
 
-        Between two steps a request could be read on a connection that is about to be closed.
+        Between two steps a request could be read on a connection that is about to be closed. One
+        whose pending read has just ended holds a request that is about to be served.
         """
-        for connection in self.connections - self.busy:
-            connection.stream.close()
-
-    def close_all(self) -> None:
-        """Close all connections in one step."""
         for connection in list(self.connections):
-            connection.stream.close()
+            if connection not in self.busy and connection.stream.reading():
+                connection.stream.close()
 
 
 class CallerMessage(HTTPMessageDelegate):
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -176,12 +176,12 @@
         json_log.change("draining", open_requests=self.front.open_requests)
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         self.callers.stop()
-        self.front.close_idle()
         latest = began + self.bounds.grace_seconds - DRAIN_MARGIN_SECONDS
-        while self.front.open_requests and now() < latest:
+        self.front.close_idle()
+        while self.front.open_connections and now() < latest:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+            self.front.close_idle()
         json_log.change("drained", open_requests=self.front.open_requests)
-        self.front.close_all()
         await self.peers.leave()
 
     async def close(self) -> None:
