--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -173,6 +173,7 @@
         began = now()
         self.draining = True
         self.front.draining = True
+        self.callers.conn_params.no_keep_alive = True
         json_log.change("draining", open_requests=self.front.open_requests)
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         self.callers.stop()
--- /dev/null
+++ b/libs/forward/tests/test_front.py
@@ -0,0 +1,135 @@
+"""The callers' side over real loopback connections."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from fakes import NAMES, FakeUpstream, World, answered, plain
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from mimosahoist.core.metrics import Metrics
+from mimosahoist.forward.beliefs import Beliefs
+from mimosahoist.forward.declarations import CallerLimits, Configuration, RouteKind, SharedBounds
+from mimosahoist.forward.dispatcher import Dispatcher
+from mimosahoist.forward.front import CallerFront
+from mimosahoist.forward.routing import RouteTable
+
+GET = "GET {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Time-Left: 3000\r\n{more}\r\n"
+LIMITS = CallerLimits(header_bytes=2000, body_bytes=1000)
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.world = World(SharedBounds(repeat_slack=1000.0))
+        self.upstream: FakeUpstream = self.world.add("desk", "a")
+        self.beliefs = Beliefs(self.world.fleet)
+        self.configure(plain(RouteKind.NON_IDEMPOTENT))
+        dispatcher = Dispatcher(self.beliefs, self.world.engine, NAMES, Metrics())
+        self.front = CallerFront(dispatcher)
+        self.server = HTTPServer(self.front, max_header_size=1 << 20)
+        sock, self.port = bind_unused_port()
+        self.server.add_sockets([sock])
+        self.rng = random.Random(2)
+
+    async def asyncTearDown(self) -> None:
+        self.server.stop()
+        await self.front.tasks.close()
+        await self.world.engine.close()
+        await self.server.close_all_connections()
+
+    def configure(self, *routes: object) -> None:
+        self.beliefs.routes = RouteTable(Configuration(1, tuple(routes), {}, LIMITS))
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def ask(self, path: str = "/x/1", more: str = "", body: bytes = b"") -> tuple[int, str]:
+        reader, writer = await self.connect()
+        writer.write(GET.format(path=path, more=more).encode() + body)
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        return int(head.split()[1]), head
+
+    async def test_table_of_refusals(self) -> None:
+        cases = [
+            ("no route", {"path": "/other/1"}, 404),
+            ("headers too large", {"more": f"X-Much: {'x' * 3000}\r\n"}, 431),
+            ("length too large", {"more": "Content-Length: 2000\r\n"}, 413),
+            (
+                "chunks too large",
+                {
+                    "more": "Transfer-Encoding: chunked\r\n",
+                    "body": b"800\r\n" + b"x" * 2048 + b"\r\n0\r\n\r\n",
+                },
+                413,
+            ),
+        ]
+        for name, request, status in cases:
+            with self.subTest(name):
+                self.assertEqual((await self.ask(**request))[0], status)
+        self.assertEqual(self.upstream.arrivals, [])
+
+    async def test_without_a_configuration_the_answer_is_to_come_again(self) -> None:
+        self.beliefs.routes = None
+        status, head = await self.ask()
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After:", head)
+
+    async def test_answer_is_returned_unchanged(self) -> None:
+        self.upstream.script = lambda number: (0.0, answered("x", b"the body", status=418))
+        status, head = await self.ask()
+        self.assertEqual(status, 418)
+        self.assertIn("X-Signature: signed-x", head)
+
+    async def test_hop_by_hop_headers_are_not_forwarded(self) -> None:
+        await self.ask(more="Connection: X-Own\r\nX-Own: 1\r\nTE: x\r\nX-Kept: 2\r\n")
+        headers = self.upstream.passed_on[0]
+        self.assertEqual(headers["X-Kept"], "2")
+        self.assertEqual(headers["X-Request-Id"], "r1")
+        for name in ("X-Own", "TE", "Connection"):
+            self.assertNotIn(name, headers)
+
+    async def test_caller_that_leaves_ends_the_call(self) -> None:
+        dropped: list[int] = []
+        self.upstream.script = lambda number: (0.0, None)
+        self.upstream.drop = dropped.append
+        reader, writer = await self.connect()
+        writer.write(GET.format(path="/x/1", more="").encode())
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.6)
+        self.assertEqual(len(dropped), 1)
+        self.assertEqual(self.front.open_requests, 0)
+
+    async def test_drain_cuts_no_request_that_was_read(self) -> None:
+        self.upstream.script = lambda number: (0.02, answered("x"))
+        self.front.draining = True
+        self.server.conn_params.no_keep_alive = True
+        whole = cut = 0
+        for _ in range(40):
+            reader, writer = await self.connect()
+            await asyncio.sleep(0.002)
+            writer.write(GET.format(path="/x/1", more="").encode())
+            for _ in range(self.rng.randrange(6)):
+                await asyncio.sleep(0)
+            arrivals = len(self.upstream.arrivals)
+            self.front.close_idle()
+            try:
+                head = await asyncio.wait_for(reader.read(), 5.0)
+            except ConnectionResetError:
+                head = b""
+            await asyncio.sleep(0.03)
+            was_passed_on = len(self.upstream.arrivals) > arrivals
+            whole += bool(head)
+            cut += was_passed_on and not head
+        self.assertEqual(cut, 0)
+        self.assertGreater(whole, 0)
+
+    async def test_draining_instance_asks_callers_to_leave(self) -> None:
+        self.front.draining = True
+        _, head = await self.ask()
+        self.assertIn("Connection: close", head)
--- /dev/null
+++ b/libs/forward/tests/test_peers.py
@@ -0,0 +1,104 @@
+"""Instances that share what the store said, over real ZeroMQ sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from fakes import NAMES
+from tornado.testing import bind_unused_port
+
+from mimosahoist.core.metrics import Metrics
+from mimosahoist.forward.beliefs import Beliefs
+from mimosahoist.forward.declarations import (
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    ServiceLimits,
+    SharedBounds,
+    UpstreamRecord,
+    WeightedService,
+)
+from mimosahoist.forward.fleet import UpstreamFleet
+from mimosahoist.forward.instance import InstanceSettings
+from mimosahoist.forward.peers import Peers
+from mimosahoist.peers.zmq_transport import ZmqPeerTransport
+from mimosahoist.platform.watched import WatchedItem, WatchedKind
+
+ROUTE = Route(
+    "r", "h", "/x/", RouteKind.IDEMPOTENT, 1.0, 0.1, 1, 2, (WeightedService("s", 1.0),), ("t",)
+)
+SERVICES = {"s": ServiceLimits("s", "/health", 9, 1.5)}
+CONFIGURATION = Configuration(7, (ROUTE,), SERVICES, CallerLimits())
+
+
+class Node:
+    def __init__(self, number: int, address: str, seed: str) -> None:
+        settings = InstanceSettings(
+            f"node-{number}", "abcd"[number % 4], "", "", "", "", address, (seed,)
+        )
+        self.fleet = UpstreamFleet(SharedBounds(), NAMES)
+        self.beliefs = Beliefs(self.fleet)
+        metrics = Metrics()
+        transport = ZmqPeerTransport(address, None, metrics)
+        self.peers = Peers(settings, transport, self.beliefs, metrics, random.Random(number))
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        addresses = []
+        for _ in range(5):
+            sock, port = bind_unused_port()
+            sock.close()
+            addresses.append(f"127.0.0.1:{port}")
+        self.nodes = [Node(number, at, addresses[0]) for number, at in enumerate(addresses)]
+        for node in self.nodes:
+            await node.peers.start()
+            self.addAsyncCleanup(node.peers.close)
+
+    async def eventually(self, check: object, seconds: float = 10.0) -> None:
+        until = asyncio.get_running_loop().time() + seconds
+        while not check() and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.02)
+        self.assertTrue(check())
+
+    async def test_all_learn_what_one_has_read(self) -> None:
+        first = self.nodes[1].beliefs
+        first.take(WatchedKind.CONFIGURATION, WatchedItem("main", 9, CONFIGURATION))
+        record = UpstreamRecord("u1", "s", "127.0.0.1:1", "a", "v1", 3, True, 0.5, 77)
+        first.take(WatchedKind.UPSTREAMS, WatchedItem("u1", 10, record))
+        first.take(WatchedKind.DOMAINS_OUT, WatchedItem("b", 11, "b"))
+
+        def known() -> bool:
+            return all(
+                node.beliefs.routes is not None
+                and node.beliefs.routes.configuration == CONFIGURATION
+                and node.fleet.by_name.get("u1") is not None
+                and node.fleet.by_name["u1"].record == record
+                and node.fleet.domains_out == {"b"}
+                for node in self.nodes
+            )
+
+        await self.eventually(known)
+        first.take(WatchedKind.UPSTREAMS, WatchedItem("u1", 12, None))
+        await self.eventually(lambda: all(not node.fleet.by_name for node in self.nodes))
+
+    async def test_three_of_all_instances_watch(self) -> None:
+        await self.eventually(lambda: all(node.peers.alive() == 5 for node in self.nodes))
+        self.assertEqual(sum(node.peers.watches() for node in self.nodes), 3)
+
+    async def test_an_outage_that_one_saw_is_known_to_all(self) -> None:
+        await self.eventually(lambda: all(node.peers.alive() == 5 for node in self.nodes))
+        told: list[int] = []
+        for number, node in enumerate(self.nodes):
+            node.peers.outage_listeners.append(lambda number=number: told.append(number))
+        self.nodes[2].peers.publish_outage()
+        await self.eventually(lambda: set(told) == {0, 1, 3, 4})
+
+    async def test_one_that_hears_nobody_watches_for_itself(self) -> None:
+        await self.eventually(lambda: all(node.peers.alive() == 5 for node in self.nodes))
+        idle = next(node for node in self.nodes if not node.peers.watches())
+        idle.peers.exchange.last_contact -= 2.0
+        self.assertTrue(idle.peers.watches())
