--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,9 @@
 	$(BIN)/mimosahoist-lab soak --seed 1 --seconds 60
 
 lint: setup
-	$(BIN)/black --check --quiet libs tools examples
-	$(BIN)/ruff check --quiet libs tools examples
+	$(BIN)/black --check --quiet libs platform tools examples
+	$(BIN)/ruff check --quiet libs platform tools examples
 
 format: setup
-	$(BIN)/black --quiet libs tools examples
-	$(BIN)/ruff check --quiet --fix libs tools examples
+	$(BIN)/black --quiet libs platform tools examples
+	$(BIN)/ruff check --quiet --fix libs platform tools examples
--- a/libs/forward/src/mimosahoist/forward/connection.py
+++ b/libs/forward/src/mimosahoist/forward/connection.py
@@ -14,7 +14,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mimosahoist.core.tasks import now
-from mimosahoist.forward.outcomes import Answered, Lost, LossKind
+from mimosahoist.forward.outcomes import Answered, LossKind, Lost
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -203,9 +203,7 @@
         tried = f"{shard.sends} sent, {shard.runs} run"
         return f"{shard.service} ({tried}): {', '.join(states) or 'none listed'}"
 
-    def log_failed_call(
-        self, shard: ShardSearch, upstream: Upstream, outcome: CallOutcome
-    ) -> None:
+    def log_failed_call(self, shard: ShardSearch, upstream: Upstream, outcome: CallOutcome) -> None:
         """Log a call that brought no part."""
         json_log.change(
             "call failed",
--- a/libs/forward/src/mimosahoist/forward/health.py
+++ b/libs/forward/src/mimosahoist/forward/health.py
@@ -5,8 +5,8 @@
 from mimosahoist.forward.outcomes import (
     Answered,
     CallOutcome,
-    Lost,
     LossKind,
+    Lost,
     Refused,
     Unreached,
 )
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -16,8 +16,8 @@
 from mimosahoist.forward.fleet import UpstreamFleet
 from mimosahoist.forward.follower import StoreFollower
 from mimosahoist.forward.front import CallerFront
-from mimosahoist.forward.peers import Peers
 from mimosahoist.forward.merge import RecordMerger
+from mimosahoist.forward.peers import Peers
 from mimosahoist.platform.watched import WatchedKind
 
 if TYPE_CHECKING:
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -14,8 +14,8 @@
 from mimosahoist.forward.outcomes import (
     Answered,
     CallOutcome,
-    Lost,
     LossKind,
+    Lost,
     Refused,
     Unreached,
 )
--- a/libs/forward/tests/fakes.py
+++ b/libs/forward/tests/fakes.py
@@ -21,7 +21,7 @@
 from mimosahoist.forward.fleet import UpstreamFleet
 from mimosahoist.forward.headers import HeaderNames
 from mimosahoist.forward.merge import RecordMerger
-from mimosahoist.forward.outcomes import Answered, CallOutcome, Lost, LossKind
+from mimosahoist.forward.outcomes import Answered, CallOutcome, LossKind, Lost
 from mimosahoist.forward.request import CallerRequest
 from mimosahoist.forward.upstream import Upstream
 
@@ -63,8 +63,8 @@
 class World:
     """An engine whose upstreams are fakes, named ``SERVICE-DOMAIN``."""
 
-    def __init__(self, bounds: SharedBounds = SharedBounds(), domain: str = "a") -> None:
-        self.fleet = UpstreamFleet(bounds, NAMES)
+    def __init__(self, bounds: SharedBounds | None = None, domain: str = "a") -> None:
+        self.fleet = UpstreamFleet(bounds or SharedBounds(), NAMES)
         self.metrics = Metrics()
         self.engine = ForwardEngine(
             self.fleet, NAMES, RecordMerger(), domain, self.metrics, random.Random(5)
@@ -88,9 +88,7 @@
         headers = HTTPHeaders({NAMES.request_id: "r1"})
         deadline = at + min(left, route.timeout)
         aim = at + route.target_latency
-        return CallerRequest(
-            "r1", route, method, "/x/", headers, b"", at, at + left, deadline, aim
-        )
+        return CallerRequest("r1", route, method, "/x/", headers, b"", at, at + left, deadline, aim)
 
 
 def gathering(count: int = 10, **fields: object) -> Route:
--- a/libs/forward/tests/test_connection.py
+++ b/libs/forward/tests/test_connection.py
@@ -11,7 +11,7 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.connection import idle_seconds
 from mimosahoist.forward.declarations import ServiceLimits, SharedBounds, UpstreamRecord
-from mimosahoist.forward.outcomes import Answered, CallOutcome, Lost, LossKind, Refused, Unreached
+from mimosahoist.forward.outcomes import Answered, CallOutcome, LossKind, Lost, Refused, Unreached
 from mimosahoist.forward.request import CallerRequest
 from mimosahoist.forward.upstream import Upstream
 
--- a/libs/forward/tests/test_decisions.py
+++ b/libs/forward/tests/test_decisions.py
@@ -12,7 +12,7 @@
 from mimosahoist.forward.domain_reach import DomainReach
 from mimosahoist.forward.health import UpstreamHealth
 from mimosahoist.forward.merge import RecordMerger
-from mimosahoist.forward.outcomes import Lost, LossKind, Refused, Unreached
+from mimosahoist.forward.outcomes import LossKind, Lost, Refused, Unreached
 from mimosahoist.forward.repeat_budget import RepeatBudget
 from mimosahoist.forward.route_timing import RouteTiming
 from mimosahoist.forward.routing import RouteTable
--- a/libs/forward/tests/test_gather.py
+++ b/libs/forward/tests/test_gather.py
@@ -7,7 +7,15 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import SharedBounds
 from mimosahoist.forward.gather import Gather
-from mimosahoist.forward.outcomes import Failed, Gathered, Lost, LossKind, NotRun, Refused, Unreached
+from mimosahoist.forward.outcomes import (
+    Failed,
+    Gathered,
+    LossKind,
+    Lost,
+    NotRun,
+    Refused,
+    Unreached,
+)
 from mimosahoist.lab.paused_loop import PausedTestCase
 
 ROOMY = SharedBounds(repeat_ratio=0.2, repeat_slack=1000.0)
--- a/libs/forward/tests/test_plain.py
+++ b/libs/forward/tests/test_plain.py
@@ -7,8 +7,8 @@
 from mimosahoist.forward.outcomes import (
     Failed,
     Forwarded,
-    Lost,
     LossKind,
+    Lost,
     NotRun,
     Refused,
     Unreached,
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -21,9 +21,10 @@
 
 
 def load_tests() -> unittest.TestSuite:
-    """Tests of all libraries."""
+    """Tests of all libraries and of the platform's folder."""
     suite = unittest.TestSuite()
-    for folder in sorted((ROOT / "libs").glob("*/tests")):
+    sys.path.insert(0, str(ROOT / "platform"))
+    for folder in [*sorted((ROOT / "libs").glob("*/tests")), ROOT / "platform" / "tests"]:
         loader = unittest.TestLoader()
         suite.addTests(loader.discover(str(folder), top_level_dir=str(folder)))
     return suite
