--- a/libs/forward/src/mimosahoist/forward/choice.py
+++ b/libs/forward/src/mimosahoist/forward/choice.py
@@ -10,7 +10,7 @@
 
     from mimosahoist.forward.upstream import Upstream
 
-OTHER_DOMAIN_PENALTY = 2.0
+OTHER_DOMAIN_PENALTY = 4.0
 FAILURE_PENALTY = 4.0
 STALL_PENALTY = 6.0
 COLD_PENALTY = 3.0
--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -24,6 +24,7 @@
     from mimosahoist.forward.headers import HeaderNames
 
 NO_CONFIGURATION = NotRun("no configuration is known yet", 0.5)
+CRASHES_UPSTREAMS = NotRun("upstreams crash under this request", 1.0)
 CUT_OFF = NotRun("too few upstreams are within reach of this instance", 0.05)
 CALLER_TRIP_SECONDS = 0.008
 ANSWER_SECONDS = 0.01
@@ -62,6 +63,8 @@
         if self.engine.reach.out_of_reach and not self.engine.within_reach(route):
             return CUT_OFF
         request = self.make_request(route, method, target, headers, body)
+        if self.engine.crashes.records and self.engine.crashes.rejects(request.fingerprint):
+            return CRASHES_UPSTREAMS
         if route.shards:
             return await Gather(self.engine, request).run()
         return await PlainForward(self.engine, request).run()
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -8,8 +8,9 @@
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.choice import ChoiceContext, choose
 from mimosahoist.forward.completion import needed_parts
+from mimosahoist.forward.crash_watch import CrashWatch
 from mimosahoist.forward.domain_reach import DomainReach
-from mimosahoist.forward.outcomes import Answered, Lost, Refused, Unreached
+from mimosahoist.forward.outcomes import Answered, LossKind, Lost, Refused, Unreached
 from mimosahoist.forward.route_timing import RouteTiming
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
         self.metrics = metrics
         self.rng = rng
         self.tasks = TaskSet()
+        self.crashes = CrashWatch()
         self.reach = DomainReach(failure_domain)
         self.timings: dict[str, RouteTiming] = {}
 
@@ -122,15 +124,24 @@
         if isinstance(outcome, Answered | Refused):
             self.reach.note_answer(upstream.record.failure_domain, now())
         elif isinstance(outcome, Lost | Unreached):
+            if outcome == Lost(LossKind.BROKEN):
+                self.tasks.spawn(self.examine(upstream, request), "examine broken call")
             self.reach.note_failure(upstream.record.failure_domain, now())
         if isinstance(outcome, Answered):
             if upstream.record.failure_domain != self.failure_domain:
                 self.metrics.count("bytes_from_other_domains", len(outcome.body))
             self.learn(upstream, request.route, outcome)
+            if self.crashes.records:
+                self.crashes.note_answer(request.fingerprint)
         elif isinstance(outcome, Refused) and outcome.other_instance:
             self.fleet.remove(upstream.record.name, "another instance has its address")
         return outcome
 
+    async def examine(self, upstream: Upstream, request: CallerRequest) -> None:
+        """Blame a request for a broken call if its upstream takes no new connection."""
+        if not await upstream.accepts():
+            self.crashes.blame(request.fingerprint, upstream.record.name, request.id)
+
     def learn(self, upstream: Upstream, route: Route, answer: Answered) -> None:
         """Take an answer time in."""
         timing = self.timing(route)
--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -46,6 +46,14 @@
         """Limits of a service; undeclared ones are open."""
         return self.limits.get(service) or ServiceLimits(service)
 
+    def set_bounds(self, bounds: SharedBounds) -> None:
+        """Take changed bounds."""
+        self.bounds = bounds
+        for upstream in self.by_name.values():
+            upstream.bounds = bounds
+        for budget in self.budgets.values():
+            budget.bounds = bounds
+
     def set_instances(self, count: int) -> None:
         """Divide shared limits by another number of instances."""
         if count == self.instances:
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -79,6 +79,7 @@
             self.fleet, names, RecordMerger(), settings.failure_domain, self.metrics, rng
         )
         self.peers = Peers(settings, peer_transport, self.beliefs, self.metrics, rng)
+        self.peers.share_crashes(self.engine.crashes)
         self.peers.member_listeners.append(self.count_instances)
         self.follower = StoreFollower(
             store,
@@ -131,6 +132,13 @@
             await asyncio.sleep(COUNTERS_SECONDS)
             json_log.change("counters", **self.metrics.counters)
 
+    def apply_bounds(self, bounds: SharedBounds) -> None:
+        """Put changed bounds in force."""
+        self.bounds = bounds
+        self.fleet.set_bounds(bounds)
+        self.follower.recheck_seconds = bounds.recheck_seconds
+        json_log.change("bounds changed", **bounds._asdict())
+
     def count_instances(self) -> None:
         """Divide shared limits by all instances that may still be at work."""
         self.fleet.set_instances(max(self.settings.instances_expected, self.peers.possibly_alive()))
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -10,6 +10,7 @@
 
 from mimosahoist.core.hashing import hash_text
 from mimosahoist.core.tasks import now
+from mimosahoist.forward.crash_watch import CRASH_PREFIX, CrashFacts, CrashRecord, CrashWatch
 from mimosahoist.forward.declarations import Configuration, RolloutOrder, UpstreamRecord
 from mimosahoist.forward.follower import FleetView
 from mimosahoist.peers.exchange import Identity, PeerExchange
@@ -182,6 +183,18 @@
         value = [item.revision, zlib.compress(msgspec.msgpack.encode(item.value))]
         self.board.publish(f"{BELIEF_PREFIX}{kind}/{item.name}", value, urgent=True)
 
+    def share_crashes(self, crashes: CrashWatch) -> None:
+        """Share what is known of requests that crash upstreams."""
+
+        def take(key: str, value: Any) -> None:
+            crashes.take(key[len(CRASH_PREFIX) :], CrashRecord(*value))
+
+        def publish(fingerprint: str, record: CrashRecord) -> None:
+            self.board.publish(CRASH_PREFIX + fingerprint, list(record), urgent=True)
+
+        self.board.register(CrashFacts(), take)
+        crashes.listeners.append(publish)
+
     def handle_belief(self, key: str, value: Any) -> None:
         """Take what another instance has learned from the store."""
         kind_name, _, name = key[len(BELIEF_PREFIX) :].partition("/")
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -200,6 +200,24 @@
         self.put_back(connection, isinstance(outcome, Lost))
         return outcome
 
+    async def accepts(self) -> bool:
+        """Whether the upstream takes a new connection, which is kept for the next call.
+
+        Without room for one nothing can be said against it.
+        """
+        self.prune()
+        if self.idle or self.open_connections >= self.connection_limit:
+            return True
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                connection = await self.connect()
+        except TimeoutError:
+            return True
+        except (StreamClosedError, OSError):
+            return False
+        self.put_back(connection, False)
+        return True
+
     async def connect(self) -> UpstreamConnection:
         """Open one more connection."""
         self.open_connections += 1
