--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -34,6 +34,7 @@
 
     from mimosahoist.forward.dispatcher import Dispatcher
 
+STATUS_TOO_SLOW = 408
 STATUS_TOO_LARGE = 413
 STATUS_HEADERS_TOO_LARGE = 431
 STATUS_UNAVAILABLE = 503
@@ -100,6 +101,7 @@
         self.chunks: list[bytes] = []
         self.size = 0
         self.refused = False
+        self.overdue: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
@@ -114,6 +116,10 @@
             self.refuse(STATUS_HEADERS_TOO_LARGE)
         elif length.isdigit() and int(length) > limits.body_bytes:
             self.refuse(STATUS_TOO_LARGE)
+        else:
+            seconds = limits.header_timeout
+            loop = asyncio.get_running_loop()
+            self.overdue = loop.call_later(seconds, self.refuse, STATUS_TOO_SLOW)
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a piece of the body, unless there is too much of it."""
@@ -126,13 +132,20 @@
 
     def refuse(self, status: int) -> None:
         """Answer at once; nothing of the request is forwarded."""
+        self.stop_timer()
         self.refused = True
         self.chunks = []
         self.front.dispatcher.metrics.count(f"answers_{status}")
         self.write(status, HTTPHeaders(), b"")
 
+    def stop_timer(self) -> None:
+        """The body is whole, or nobody waits for it."""
+        if self.overdue is not None:
+            self.overdue.cancel()
+
     def finish(self) -> None:
         """Begin to serve the request."""
+        self.stop_timer()
         if self.refused:
             return
         self.front.open_requests += 1
@@ -141,6 +154,7 @@
 
     def on_connection_close(self) -> None:
         """The caller closed before its request was whole."""
+        self.stop_timer()
         self.chunks = []
 
     def handle_left(self) -> None:
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -18,7 +18,7 @@
 from mimosahoist.forward.routing import RouteTable
 
 GET = "GET {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Time-Left: 3000\r\n{more}\r\n"
-LIMITS = CallerLimits(header_bytes=2000, body_bytes=1000)
+LIMITS = CallerLimits(header_bytes=2000, body_bytes=1000, header_timeout=0.2)
 
 
 class FrontTest(unittest.IsolatedAsyncioTestCase):
@@ -73,6 +73,11 @@
                 self.assertEqual((await self.ask(**request))[0], status)
         self.assertEqual(self.upstream.arrivals, [])
 
+    async def test_body_that_does_not_come_gets_408(self) -> None:
+        status, _ = await self.ask(more="Content-Length: 10\r\n", body=b"x")
+        self.assertEqual(status, 408)
+        self.assertEqual(self.upstream.arrivals, [])
+
     async def test_without_a_configuration_the_answer_is_to_come_again(self) -> None:
         self.beliefs.routes = None
         status, head = await self.ask()
