--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LIBRARIES := core platform declare peers forward upstream query moves entry cli lab
 EDITABLE := $(foreach name,$(LIBRARIES),-e libs/$(name))
 
-.PHONY: setup test demo measure capacity soak lint format
+.PHONY: setup test demo demo-entry measure capacity soak lint format
 
 setup: $(VENV)/.installed
 
@@ -18,6 +18,9 @@
 	$(BIN)/python tools/run_tests.py
 
 demo: setup
+	$(BIN)/python platform/demo.py
+
+demo-entry: setup
 	$(BIN)/mimosahoist-lab demo
 
 measure: setup
