--- a/libs/lab/src/mimosahoist/lab/main.py
+++ b/libs/lab/src/mimosahoist/lab/main.py
@@ -10,7 +10,7 @@
 
 from absl import logging
 
-from mimosahoist.lab import capacity, measure, soak
+from mimosahoist.lab import capacity, forward_experiment, measure, soak
 from mimosahoist.lab import deployment as sizes
 from mimosahoist.lab.demo import demo
 from mimosahoist.lab.platform_model import PlatformModel
@@ -82,7 +82,10 @@
     sized = subparsers.add_parser("capacity", help="measure the slopes of docs/CAPACITY.md")
     sized.add_argument("--output", default="measurements/capacity.json")
     sized.set_defaults(plain=capacity.command)
-    for subparser in (platform, searchers, shown, soaked, measured, job, sized):
+    played = subparsers.add_parser("forward", help="searches through pauses, way beside way")
+    played.add_argument("--seconds", type=float, default=60.0)
+    played.set_defaults(plain=forward_experiment.command)
+    for subparser in (platform, searchers, shown, soaked, measured, job, sized, played):
         subparser.add_argument("--seed", type=int, default=DEFAULT_SEED)
     return parser
 
