--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -60,7 +60,6 @@
         self.needed = needed_parts(len(self.shards), self.route.min_coverage)
         self.changed = asyncio.Event()
         self.cut = request.aim - RETURN_SECONDS
-        self.hedges = 0
 
     async def run(self) -> RequestOutcome:
         """Search until the decision is to answer."""
@@ -121,7 +120,7 @@
             if shard.part is None and at >= shard.next_send:
                 if shard.calls:
                     self.engine.note_overdue(shard.calls.values())
-                    self.hedges += self.send(shard)
+                    self.send(shard)
                     shard.next_send = self.request.deadline
                 else:
                     shard.next_send = at + ROOM_RETRY_SECONDS
@@ -176,7 +175,6 @@
     def release(self) -> None:
         """End calls whose parts are no longer wanted, leaving late ones a moment to end."""
         for shard in self.shards:
-            shard.part = shard.part
             for task in shard.calls:
                 asyncio.get_running_loop().call_later(LOSER_SECONDS, task.cancel)
 
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import tornado.web
 from tornado.httpserver import HTTPServer
@@ -26,6 +26,7 @@
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.declarations import Route, SharedBounds
     from mimosahoist.forward.headers import HeaderNames
+    from mimosahoist.forward.instance_settings import InstanceSettings
     from mimosahoist.peers.transport import PeerTransport
     from mimosahoist.platform.watched import WatchedItem, WatchedStore
 
@@ -38,20 +39,6 @@
 REACH_SECONDS = 0.25
 
 
-class InstanceSettings(NamedTuple):
-    """Addresses and place of an instance; addresses are ``host:port``."""
-
-    name: str
-    failure_domain: str
-    callers_address: str
-    readiness_address: str
-    readiness_path: str
-    metrics_address: str
-    peer_address: str
-    peer_seeds: tuple[str, ...]
-    instances_expected: int = 8
-
-
 class ForwardingInstance:
     """Wires the parts of one instance together."""
 
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/instance_settings.py
@@ -0,0 +1,27 @@
+"""Addresses and place of an instance."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class InstanceSettings(NamedTuple):
+    """Addresses and place of an instance; addresses are ``host:port``.
+
+    Attributes
+    ----------
+    peer_seeds : tuple of str
+        Peer addresses to try as long as no instance is known.
+    instances_expected : int
+        Shared limits are divided by at least this many instances, also before peers are known.
+    """
+
+    name: str
+    failure_domain: str
+    callers_address: str
+    readiness_address: str
+    readiness_path: str
+    metrics_address: str
+    peer_address: str
+    peer_seeds: tuple[str, ...]
+    instances_expected: int = 8
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -25,7 +25,7 @@
 
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.beliefs import Beliefs
-    from mimosahoist.forward.instance import InstanceSettings
+    from mimosahoist.forward.instance_settings import InstanceSettings
     from mimosahoist.peers.transport import PeerTransport
 
 CLUSTER = "mimosahoist"
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -47,7 +47,6 @@
         self.failure: Answered | None = None
         self.runs = 0
         self.sends = 0
-        self.hedges = 0
 
     async def run(self) -> RequestOutcome:
         """Forward until there is an answer or nothing more can be tried."""
@@ -59,7 +58,8 @@
                 await self.wait(hedge_at)
                 if now() >= hedge_at and self.answer is None:
                     hedge_at = self.request.deadline
-                    self.hedges += self.route.repeatable and self.send()
+                    if self.route.repeatable:
+                        self.send()
         finally:
             self.release()
         return self.outcome()
--- a/libs/forward/tests/test_peers.py
+++ b/libs/forward/tests/test_peers.py
@@ -22,7 +22,7 @@
     WeightedService,
 )
 from mimosahoist.forward.fleet import UpstreamFleet
-from mimosahoist.forward.instance import InstanceSettings
+from mimosahoist.forward.instance_settings import InstanceSettings
 from mimosahoist.forward.peers import Peers
 from mimosahoist.peers.zmq_transport import ZmqPeerTransport
 from mimosahoist.platform.watched import WatchedItem, WatchedKind
