--- a/libs/entry/src/mimosahoist/entry/application.py
+++ b/libs/entry/src/mimosahoist/entry/application.py
@@ -9,13 +9,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import tornado.httpserver
-import tornado.web
 
 from mimosahoist.core import json_log
 from mimosahoist.core.metrics import Metrics
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.core.tracing import Traces
-from mimosahoist.entry import admin, handlers
 from mimosahoist.entry.directory import Directory, Surroundings
 from mimosahoist.entry.share_keeper import ShareKeeper
 from mimosahoist.entry.shared_facts import (
@@ -52,7 +50,6 @@
     from mimosahoist.query.service import Service
     from mimosahoist.upstream.transport import Transport
 
-UNLIMITED_BODY = 1 << 40
 DEFAULT_SAMPLE_RATIO = 0.01
 DEFAULT_DRAIN_NOTICE = 1.0
 DEFAULT_DRAIN_LONGEST = 60.0
@@ -187,30 +184,6 @@
         await self.controller.start()
         self.tasks.spawn(self.publish_observed(), "observed revision")
 
-    def listen(self) -> None:
-        """Open the HTTP servers."""
-        web = tornado.web.Application(
-            [
-                (r"/v1/([^/]+)/([^/]+)/search", handlers.SearchHandler, {"app": self}),
-                (r"/v1/([^/]+)/([^/]+)/run", handlers.RunHandler, {"app": self}),
-                (r"/health", admin.HealthHandler, {"app": self}),
-            ],
-            default_handler_class=handlers.NotFoundHandler,
-            default_handler_args={"app": self},
-        )
-        self.server = tornado.httpserver.HTTPServer(web, max_body_size=UNLIMITED_BODY)
-        listen_on(self.server, self.settings["listen"]["http"])
-        operators = tornado.web.Application(
-            [
-                (r"/health", admin.HealthHandler, {"app": self}),
-                (r"/metrics", admin.MetricsHandler, {"app": self}),
-                (r"/traces", admin.TracesHandler, {"app": self}),
-                (r"/status", admin.StatusHandler, {"app": self}),
-            ]
-        )
-        self.admin_server = tornado.httpserver.HTTPServer(operators)
-        listen_on(self.admin_server, self.settings["listen"]["admin"])
-
     async def drain(self) -> None:
         """Stop gracefully: give notice, finish what is in flight, hand the share back."""
         self.draining = True
@@ -337,9 +310,3 @@
             return bool(warm)
         plan = make_plan(warm, (spec["target"],), now())
         return plan is not None and not plan.unheld
-
-
-def listen_on(server: tornado.httpserver.HTTPServer, address: str) -> None:
-    """Bind a server to ``host:port``."""
-    host, _, port = address.rpartition(":")
-    server.listen(int(port), address=host)
--- /dev/null
+++ b/libs/entry/src/mimosahoist/entry/http_servers.py
@@ -0,0 +1,54 @@
+"""HTTP servers of an entry instance: for callers and for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import tornado.httpserver
+import tornado.web
+
+from mimosahoist.entry import admin, handlers
+
+if TYPE_CHECKING:
+    from mimosahoist.entry.application import EntryApplication
+
+UNLIMITED_BODY = 1 << 40
+
+
+def listen(app: EntryApplication) -> None:
+    """Open both servers; the application stops them when it drains."""
+    app.server = tornado.httpserver.HTTPServer(callers(app), max_body_size=UNLIMITED_BODY)
+    listen_on(app.server, app.settings["listen"]["http"])
+    app.admin_server = tornado.httpserver.HTTPServer(operators(app))
+    listen_on(app.admin_server, app.settings["listen"]["admin"])
+
+
+def callers(app: EntryApplication) -> tornado.web.Application:
+    """Paths for callers."""
+    return tornado.web.Application(
+        [
+            (r"/v1/([^/]+)/([^/]+)/search", handlers.SearchHandler, {"app": app}),
+            (r"/v1/([^/]+)/([^/]+)/run", handlers.RunHandler, {"app": app}),
+            (r"/health", admin.HealthHandler, {"app": app}),
+        ],
+        default_handler_class=handlers.NotFoundHandler,
+        default_handler_args={"app": app},
+    )
+
+
+def operators(app: EntryApplication) -> tornado.web.Application:
+    """Paths for operators."""
+    return tornado.web.Application(
+        [
+            (r"/health", admin.HealthHandler, {"app": app}),
+            (r"/metrics", admin.MetricsHandler, {"app": app}),
+            (r"/traces", admin.TracesHandler, {"app": app}),
+            (r"/status", admin.StatusHandler, {"app": app}),
+        ]
+    )
+
+
+def listen_on(server: tornado.httpserver.HTTPServer, address: str) -> None:
+    """Bind a server to ``host:port``."""
+    host, _, port = address.rpartition(":")
+    server.listen(int(port), address=host)
--- a/libs/entry/src/mimosahoist/entry/main.py
+++ b/libs/entry/src/mimosahoist/entry/main.py
@@ -13,6 +13,7 @@
 from mimosahoist.core.metrics import Metrics
 from mimosahoist.core.problem import Problem
 from mimosahoist.core.settings import load
+from mimosahoist.entry import http_servers
 from mimosahoist.entry.application import EntryApplication, make_adapters
 from mimosahoist.entry.settings import EntrySettings
 
@@ -46,7 +47,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await app.start()
-    app.listen()
+    http_servers.listen(app)
     tune_collector()
     json_log.change("listening", address=settings["listen"]["http"])
     await stopped.wait()
--- a/libs/entry/tests/test_http.py
+++ b/libs/entry/tests/test_http.py
@@ -14,7 +14,7 @@
 
 from mimosahoist.core.metrics import Metrics
 from mimosahoist.core.problem import Problem
-from mimosahoist.entry import bodies
+from mimosahoist.entry import bodies, http_servers
 from mimosahoist.entry.application import Adapters, EntryApplication
 from mimosahoist.lab import deployment as sizes
 from mimosahoist.lab.memory import MemoryNetwork, MemoryPeerTransport, MemoryStore, MemoryTransport
@@ -61,7 +61,7 @@
         )
         self.app = EntryApplication(entry_settings, Metrics(), adapters, random.Random(1))
         await self.app.start()
-        self.app.listen()
+        http_servers.listen(self.app)
         self.client = CurlAsyncHTTPClient(force_instance=True)
         async with asyncio.timeout(READY_SECONDS):
             while not self.app.ready():
--- a/libs/query/src/mimosahoist/query/search.py
+++ b/libs/query/src/mimosahoist/query/search.py
@@ -12,6 +12,7 @@
 from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.core.tasks import now
 from mimosahoist.query.request import MissingShard, SearchResult
+from mimosahoist.query.search_context import SearchContext
 from mimosahoist.query.shard_task import REASON_NO_UPSTREAM, ShardTask
 
 if TYPE_CHECKING:
@@ -26,7 +27,7 @@
 CANARY_PATIENCE = 0.03
 
 
-class Search:
+class Search(SearchContext):
     """Scatters a search, gathers the answers and merges them."""
 
     def __init__(self, service: Service, request: SearchRequest) -> None:
@@ -80,7 +81,7 @@
         self.snapshot_lost = False
         self.encoded_prefix = self.encode_prefix()
         self.tasks = [
-            ShardTask(self, self.plan, group, number)
+            ShardTask(self, self.service, self.plan, group, number)
             for number, group in enumerate(self.plan.groups)
         ]
         self.open_tasks = len(self.tasks)
--- a/libs/query/src/mimosahoist/query/service.py
+++ b/libs/query/src/mimosahoist/query/service.py
@@ -19,8 +19,7 @@
     from mimosahoist.platform.kinds import Preference, ServiceSpec
     from mimosahoist.query.crash_guard import CrashGuard
     from mimosahoist.query.plan import Plan
-    from mimosahoist.query.search import Search
-    from mimosahoist.query.shard_task import ShardTask
+    from mimosahoist.query.search_context import SearchContext, WaitingTask
     from mimosahoist.upstream.pool import UpstreamPool
 
 HEDGE_PERCENT = 97.0
@@ -95,7 +94,7 @@
         self.retry_budget = TokenBudget(RETRY_RATIO, RETRY_CAP, RETRY_INITIAL)
         self.route = VersionRoute(spec["version"], spec["version"], 0.0)
         self.evidence_listeners: list[Callable[[CallEvidence], None]] = []
-        self.parked: list[ShardTask] = []
+        self.parked: list[WaitingTask] = []
         self.cached_plans: dict[str, Plan | None] = {}
         self.cached_concurrency = 1
         self.plan_made_at = 0.0
@@ -187,11 +186,11 @@
         for listener in self.evidence_listeners:
             listener(evidence)
 
-    def park(self, task: ShardTask) -> None:
+    def park(self, task: WaitingTask) -> None:
         """Keep a shard task until an upstream has room."""
         self.parked.append(task)
 
-    def forget_parked(self, search: Search) -> None:
+    def forget_parked(self, search: SearchContext) -> None:
         """Drop the parked tasks of a search that ended."""
         if self.parked:
             self.parked = [task for task in self.parked if task.search is not search]
--- a/libs/query/src/mimosahoist/query/shard_task.py
+++ b/libs/query/src/mimosahoist/query/shard_task.py
@@ -8,6 +8,7 @@
 
 from mimosahoist.core import tracing
 from mimosahoist.core.tasks import now
+from mimosahoist.query.search_context import WaitingTask
 from mimosahoist.query.service import CallEvidence
 from mimosahoist.upstream import messages
 from mimosahoist.upstream.call import Call
@@ -17,7 +18,8 @@
     from opentelemetry.trace import Span
 
     from mimosahoist.query.plan import Plan, ShardGroup
-    from mimosahoist.query.search import Search
+    from mimosahoist.query.search_context import SearchContext
+    from mimosahoist.query.service import Service
     from mimosahoist.upstream.transport import Reply
     from mimosahoist.upstream.upstream import Upstream
 
@@ -32,13 +34,20 @@
 REASON_REJECTED = "request-crashes-upstreams"
 
 
-class ShardTask:
+class ShardTask(WaitingTask):
     """Asks one shard group's upstreams until one answers, with hedges and retries."""
 
-    def __init__(self, search: Search, plan: Plan, group: ShardGroup, number: int) -> None:
+    def __init__(
+        self,
+        search: SearchContext,
+        service: Service,
+        plan: Plan,
+        group: ShardGroup,
+        number: int,
+    ) -> None:
         self.search = search
         self.plan = plan
-        self.service = search.service
+        self.service = service
         self.group = group
         self.number = number
         self.attempts = 0
