--- a/libs/forward/src/mimosahoist/forward/crash_watch.py
+++ b/libs/forward/src/mimosahoist/forward/crash_watch.py
@@ -21,6 +21,7 @@
 CRASHES_BEFORE_REJECTION = 3
 ATTEMPTS_BEFORE_REJECTION = 2
 KEPT_NAMES = 8
+KEPT_RECORDS = 2000
 MEMORY_SECONDS = 60.0
 
 
@@ -94,6 +95,13 @@
         if joined.rejects and not (held is not None and held.rejects):
             json_log.change("request rejected from now on", fingerprint=fingerprint)
         self.records[fingerprint] = joined
+        if len(self.records) > KEPT_RECORDS:
+            self.forget(next(iter(self.records)))
+
+    def forget(self, fingerprint: str) -> None:
+        """Drop a record."""
+        self.records.pop(fingerprint, None)
+        self.cleared.discard(fingerprint)
 
     def note_answer(self, fingerprint: str) -> None:
         """Clear a request that an upstream has answered."""
@@ -106,6 +114,6 @@
         if record is None or fingerprint in self.cleared:
             return False
         if unix_time() > record.until:
-            del self.records[fingerprint]
+            self.forget(fingerprint)
             return False
         return record.rejects
--- a/libs/forward/tests/test_crash_watch.py
+++ b/libs/forward/tests/test_crash_watch.py
@@ -6,7 +6,12 @@
 from fakes import World, answered, plain
 
 from mimosahoist.core.tasks import unix_time
-from mimosahoist.forward.crash_watch import CrashFacts, CrashRecord, CrashWatch
+from mimosahoist.forward.crash_watch import (
+    KEPT_RECORDS,
+    CrashFacts,
+    CrashRecord,
+    CrashWatch,
+)
 from mimosahoist.forward.outcomes import LossKind, Lost
 from mimosahoist.forward.plain import PlainForward
 from mimosahoist.lab.paused_loop import PausedTestCase
@@ -75,6 +80,12 @@
         for bad in (None, [], [[1], [], 0.0], ["x", "y", 1.0], [[], [], "z"]):
             self.assertFalse(facts.valid(bad))
 
+    async def test_number_of_records_is_bounded(self) -> None:
+        watch = CrashWatch()
+        for number in range(KEPT_RECORDS + 50):
+            watch.blame(f"f{number}", "u", "a")
+        self.assertEqual(len(watch.records), KEPT_RECORDS)
+
     def test_join_keeps_a_bounded_number(self) -> None:
         many = CrashRecord([f"u{n}" for n in range(30)], ["r"], 1.0)
         self.assertLessEqual(len(many.join(many).upstreams), 8)
