Rollouts are carried out on the platform

Cause: an order to move a service kept the new version from all traffic and nobody wrote a status, so a good version was never completed (duty missed) and a bad one was never taken back. Weighed: a lease and a record of its own; taken: progress in the order's status, written under the revision that was read, by instances in turn. Ruled out: a schedule by stages of weight as for the product's own moves; with 12 s an order it gives a late fault more than a tenth of the traffic. Tests: test_rollout_plan, test_rollouts (four instances on the paused clock: bad at once, later, slow, under load, killed writers, all killed, lost answers, store away, cut), test_store (conditional writes), test_instances (real processes).

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,6 +7,6 @@
     touch target/deps/.requirements
 fi
 rm -rf target/deps/mimosahoist
-for library in core platform peers forward; do
+for library in core platform peers moves forward; do
     cp -R "libs/$library/src/." target/deps/
 done
--- a/libs/forward/src/mimosahoist/forward/beliefs.py
+++ b/libs/forward/src/mimosahoist/forward/beliefs.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mimosahoist.core import json_log
-from mimosahoist.forward.declarations import Configuration, RolloutOrder, UpstreamRecord
+from mimosahoist.forward.declarations import Configuration, UpstreamRecord
 from mimosahoist.forward.routing import RouteTable
 from mimosahoist.platform.watched import WatchedItem, WatchedKind
 
@@ -56,8 +56,6 @@
         elif kind is WatchedKind.DOMAINS_OUT:
             self.fleet.domains_out = frozenset(self.known(kind))
             json_log.change("failure domains out", domains=sorted(self.fleet.domains_out))
-        elif kind is WatchedKind.ROLLOUTS:
-            self.apply_rollouts()
 
     def apply_configuration(self, value: Any) -> None:
         """Put a configuration in force, unless one at least as new already is."""
@@ -77,15 +75,6 @@
         else:
             self.fleet.remove(item.name, "left the list")
 
-    def apply_rollouts(self) -> None:
-        """Keep traffic from versions that a rollout has not released."""
-        orders = [item.value for item in self.items[WatchedKind.ROLLOUTS].values()]
-        self.fleet.held_versions = frozenset(
-            (order.service, order.target)
-            for order in orders
-            if isinstance(order, RolloutOrder) and order.state != "completed"
-        )
-
 
 def is_newer(item: WatchedItem, held: WatchedItem) -> bool:
     """Whether an item replaces the one held; at the same revision removal wins."""
--- a/libs/forward/src/mimosahoist/forward/declarations.py
+++ b/libs/forward/src/mimosahoist/forward/declarations.py
@@ -120,15 +120,6 @@
     started_at: int = 0
 
 
-class RolloutOrder(NamedTuple):
-    """An order to move a service to another version of its upstreams."""
-
-    service: str
-    target: str
-    seconds: float
-    state: str = ""
-
-
 class SharedBounds(NamedTuple):
     """Bounds that hold for the sum over all instances.
 
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.tasks import TaskSet, now
@@ -27,6 +28,10 @@
     from mimosahoist.forward.upstream import Upstream
 
 
+CallListener = Callable[["Upstream", "Route", "CallOutcome | None", float], None]
+"""Gets each call's upstream, route, outcome (None if it was given up) and time in seconds."""
+
+
 class Outlook(enum.Enum):
     """Whether a service without a free upstream will have one soon."""
 
@@ -57,6 +62,7 @@
         self.crashes = CrashWatch()
         self.reach = DomainReach(failure_domain)
         self.timings: dict[str, RouteTiming] = {}
+        self.call_listeners: list[CallListener] = []
 
     async def close(self) -> None:
         """End all calls."""
@@ -81,7 +87,16 @@
             self.reach.out_of_reach,
             self.rng,
         )
-        return choose(self.fleet.of(service), tried, context)
+        upstreams = self.fleet.of(service)
+        split = self.fleet.splits.get(service)
+        if split is None:
+            return choose(upstreams, tried, context)
+        for group in split.preferred(upstreams, not tried):
+            chosen = choose(group, tried, context)
+            if chosen is not None:
+                split.note(chosen)
+                return chosen
+        return None
 
     def within_reach(self, route: Route) -> bool:
         """Whether enough of a route's services have an upstream that no cut hides."""
@@ -119,7 +134,13 @@
         self.metrics.count("calls")
         if upstream.record.failure_domain != self.failure_domain:
             self.metrics.count("calls_to_other_domains")
-        outcome = await upstream.call(request, until)
+        began = now()
+        outcome: CallOutcome | None = None
+        try:
+            outcome = await upstream.call(request, until)
+        finally:
+            for listener in self.call_listeners:
+                listener(upstream, request.route, outcome, now() - began)
         self.metrics.count(f"calls_{type(outcome).__name__.lower()}")
         if isinstance(outcome, Answered | Refused):
             self.reach.note_answer(upstream.record.failure_domain, now())
--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from mimosahoist.core import json_log
+from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import ServiceLimits
 from mimosahoist.forward.repeat_budget import RepeatBudget
 from mimosahoist.forward.upstream import Upstream
@@ -12,6 +13,7 @@
 if TYPE_CHECKING:
     from mimosahoist.forward.declarations import Configuration, SharedBounds, UpstreamRecord
     from mimosahoist.forward.headers import HeaderNames
+    from mimosahoist.forward.version_split import VersionSplit
 
 
 class UpstreamFleet:
@@ -21,8 +23,8 @@
     ----------
     domains_out : frozenset of str
         Failure domains that operators have taken out.
-    held_versions : frozenset
-        Pairs of service and version that get no traffic until their rollout is completed.
+    splits : dict
+        Division of calls between versions, for services with a rollout.
     """
 
     def __init__(self, bounds: SharedBounds, names: HeaderNames) -> None:
@@ -33,7 +35,7 @@
         self.by_name: dict[str, Upstream] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.domains_out: frozenset[str] = frozenset()
-        self.held_versions: frozenset[tuple[str, str]] = frozenset()
+        self.splits: dict[str, VersionSplit] = {}
         self.instances = 1
 
     def configure(self, configuration: Configuration) -> None:
@@ -76,11 +78,9 @@
 
     def of(self, service: str) -> list[Upstream]:
         """Upstreams of a service that may get traffic."""
-        return [
-            upstream
-            for upstream in self.services.get(service, {}).values()
-            if (service, upstream.record.version) not in self.held_versions
-        ]
+        upstreams = self.services.get(service, {}).values()
+        split = self.splits.get(service)
+        return list(upstreams) if split is None else split.allowed(upstreams, now())
 
     def put(self, record: UpstreamRecord) -> None:
         """Add an upstream, or take its newer registration in.
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -18,6 +18,7 @@
 from mimosahoist.forward.front import CallerFront
 from mimosahoist.forward.merge import RecordMerger
 from mimosahoist.forward.peers import Peers
+from mimosahoist.forward.rollouts import Rollouts
 from mimosahoist.platform.watched import WatchedKind
 
 if TYPE_CHECKING:
@@ -78,6 +79,8 @@
         )
         self.follower.outage_listeners.append(self.peers.publish_outage)
         self.peers.outage_listeners.append(self.follower.hold_absence)
+        self.rollouts = Rollouts(store, self.beliefs, self.fleet, self.peers, metrics)
+        self.engine.call_listeners.append(self.rollouts.record)
         self.dispatcher = Dispatcher(self.beliefs, self.engine, names, self.metrics)
         self.front = CallerFront(self.dispatcher)
         self.servers: list[HTTPServer] = []
@@ -89,6 +92,7 @@
         await self.store.start()
         await self.peers.start()
         await self.follower.start()
+        await self.rollouts.start()
         self.callers = HTTPServer(
             self.front, max_header_size=MAX_HEADER_BYTES, max_body_size=UNLIMITED_BYTES
         )
@@ -185,6 +189,7 @@
         for server in self.servers:
             server.stop()
         await self.tasks.close()
+        await self.rollouts.close()
         await self.follower.close()
         await self.front.tasks.close()
         await self.engine.close()
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -11,8 +11,9 @@
 from mimosahoist.core.hashing import hash_text
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.crash_watch import CRASH_PREFIX, CrashFacts, CrashRecord, CrashWatch
-from mimosahoist.forward.declarations import Configuration, RolloutOrder, UpstreamRecord
+from mimosahoist.forward.declarations import Configuration, UpstreamRecord
 from mimosahoist.forward.follower import FleetView
+from mimosahoist.forward.rollout_order import RolloutOrder
 from mimosahoist.peers.exchange import Identity, PeerExchange
 from mimosahoist.peers.facts import FactBoard, FactKind
 from mimosahoist.peers.members import MemberState
@@ -132,8 +133,16 @@
 
     def alive(self) -> int:
         """Instances that answer probes, this one included."""
-        members = self.exchange.members().values()
-        return max(1, sum(member.state == MemberState.ALIVE for member in members))
+        return len(self.alive_names())
+
+    def alive_names(self) -> set[str]:
+        """Names of the instances that answer probes, and this one's."""
+        alive = {
+            name
+            for name, member in self.exchange.members().items()
+            if member.state == MemberState.ALIVE
+        }
+        return alive | {self.name}
 
     def watches(self) -> bool:
         """Whether this instance is among the first in rendezvous order, or hears nobody.
@@ -142,12 +151,17 @@
         """
         if now() - self.exchange.last_contact > PEER_SILENCE_SECONDS:
             return True
-        own_rank = hash_text(self.exchange.identity.instance)
-        ahead = sum(
-            member.state == MemberState.ALIVE and hash_text(name) > own_rank
-            for name, member in self.exchange.members().items()
-        )
-        return ahead < WATCHERS
+        return self.rank() < WATCHERS
+
+    def rank(self) -> int:
+        """Live instances before this one in rendezvous order."""
+        own_rank = hash_text(self.name)
+        return sum(hash_text(name) > own_rank for name in self.alive_names())
+
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self.exchange.name
 
     def publish_outage(self) -> None:
         """Tell the others that the store is back after an outage."""
--- /dev/null
+++ b/libs/forward/tests/test_rollouts.py
@@ -0,0 +1,277 @@
+"""Rollouts over several instances: good and bad versions, kills, cuts and a store that is away."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from fake_store import StoreModel
+from fakes import FakeUpstream, Script, World, answered, plain
+
+from mimosahoist.core.metrics import Metrics
+from mimosahoist.core.tasks import TaskSet
+from mimosahoist.forward.beliefs import Beliefs
+from mimosahoist.forward.declarations import SharedBounds
+from mimosahoist.forward.follower import StoreFollower
+from mimosahoist.forward.instance_settings import InstanceSettings
+from mimosahoist.forward.peers import Peers
+from mimosahoist.forward.plain import PlainForward
+from mimosahoist.forward.rollout_order import RolloutOrder, RolloutPhase, RolloutState
+from mimosahoist.forward.rollouts import Rollouts
+from mimosahoist.lab.memory import MemoryNetwork, MemoryPeerTransport
+from mimosahoist.lab.paused_loop import PausedTestCase
+from mimosahoist.platform.watched import WatchedItem, WatchedKind
+
+SECONDS = 12.0
+RATE = 12.0
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+ROLLBACK_SECONDS = 5.0
+BAD_ANSWERS = 50
+ROLLOUTS = WatchedKind.ROLLOUTS
+
+
+class Bad:
+    """Answers of a bad version, from some moment on, in some share of the calls."""
+
+    def __init__(self, begins: float, share: float, slow: float = 0.0, busy: float = 0.0) -> None:
+        self.begins = begins
+        self.share = share
+        self.slow = slow
+        self.busy = busy
+        self.rng = random.Random(3)
+        self.recent: list[float] = []
+        self.failures: list[float] = []
+
+    def script(self, number: int) -> tuple[float, object]:
+        at = asyncio.get_running_loop().time()
+        self.recent = [*(item for item in self.recent if item > at - 1.0), at]
+        bad = at >= self.begins and len(self.recent) > self.busy and self.rng.random() < self.share
+        if not bad:
+            return 0.02, answered("v2")
+        self.failures.append(at)
+        if self.slow:
+            return 0.02 * self.slow, answered("v2")
+        return 0.02, answered("v2", status=500)
+
+
+class Instance:
+    """Everything of an instance that a rollout needs."""
+
+    def __init__(
+        self, number: int, store: StoreModel, network: MemoryNetwork, script: Script
+    ) -> None:
+        self.world = World(SharedBounds(repeat_ratio=0.2, repeat_slack=56.0))
+        self.upstreams: list[FakeUpstream] = []
+        for version, domains in (("v1", "abc"), ("v2", "def")):
+            for domain in domains:
+                chosen = script if version == "v2" else None
+                self.upstreams.append(self.world.add("desk", domain, chosen, version=version))
+        self.store = store
+        self.beliefs = Beliefs(self.world.fleet)
+        settings = InstanceSettings(
+            f"node-{number}", "abcd"[number % 4], "", "", "", "", f"node-{number}", ("node-0",)
+        )
+        metrics, rng = Metrics(), random.Random(number)
+        transport = MemoryPeerTransport(network, f"node-{number}", settings.failure_domain)
+        self.peers = Peers(settings, transport, self.beliefs, metrics, rng)
+        self.follower = StoreFollower(store, self.beliefs, 2.0, metrics, rng, self.peers)
+        self.rollouts = Rollouts(store, self.beliefs, self.world.fleet, self.peers, metrics)
+        self.world.engine.call_listeners.append(self.rollouts.record)
+        self.tasks = TaskSet()
+        self.answers: list[object] = []
+
+    async def start(self) -> None:
+        await self.peers.start()
+        await self.follower.start()
+        await self.rollouts.start()
+        self.tasks.spawn(self.load(), "load")
+
+    async def load(self) -> None:
+        while True:
+            await asyncio.sleep(self.world.engine.rng.expovariate(RATE))
+            self.tasks.spawn(self.ask(), "ask")
+
+    async def ask(self) -> None:
+        request = self.world.request(plain())
+        self.answers.append(await PlainForward(self.world.engine, request).run())
+
+    def sent(self, version: str) -> list[float]:
+        return [
+            at
+            for upstream in self.upstreams
+            if upstream.record.version == version
+            for at in upstream.arrivals
+        ]
+
+    async def close(self) -> None:
+        await self.tasks.close()
+        await self.rollouts.close()
+        await self.follower.close()
+        await self.peers.close()
+        await self.world.engine.close()
+
+
+class Fleet:
+    """Four instances, a store and an order given after two seconds."""
+
+    def __init__(self, script: Script | None = None) -> None:
+        self.store = StoreModel()
+        self.network = MemoryNetwork(random.Random(5))
+        self.script = script or (lambda number: (0.02, answered("v2")))
+        self.instances: list[Instance] = []
+
+    async def start(self) -> None:
+        for number in range(4):
+            await self.add(number)
+        await asyncio.sleep(2.0)
+        self.store.put(ROLLOUTS, "desk", RolloutOrder("desk", "v2", SECONDS, 9))
+
+    async def add(self, number: int) -> None:
+        instance = Instance(number, self.store, self.network, self.script)
+        self.instances.append(instance)
+        await instance.start()
+
+    @property
+    def state(self) -> RolloutState:
+        return self.store.items[ROLLOUTS]["desk"].value.state
+
+    def sent(self, version: str) -> list[float]:
+        return sorted(at for instance in self.instances for at in instance.sent(version))
+
+    async def close(self) -> None:
+        for instance in self.instances:
+            await instance.close()
+
+
+class RolloutsTest(PausedTestCase):
+    async def play(self, fleet: Fleet, seconds: float = SECONDS) -> None:
+        await fleet.start()
+        await asyncio.sleep(seconds)
+
+    def check_exposure(self, fleet: Fleet, bad: Bad) -> None:
+        target = fleet.sent("v2")
+        total = len(target) + len(fleet.sent("v1"))
+        self.assertLessEqual(len(target), EXPOSURE_SHARE * total + EXPOSURE_SLACK)
+        if len(bad.failures) >= BAD_ANSWERS:
+            self.assertLess(target[-1], bad.failures[BAD_ANSWERS - 1] + ROLLBACK_SECONDS)
+
+    async def test_good_version_is_completed_in_time_with_all_calls_moved(self) -> None:
+        fleet = Fleet()
+        await self.play(fleet)
+        self.assertEqual(fleet.state.phase, RolloutPhase.COMPLETED)
+        completed = fleet.store.written[-1].elapsed
+        self.assertLess(completed, SECONDS - 1.0)
+        self.assertLess(fleet.sent("v1")[-1], 2.0 + completed)
+        self.assertEqual(len(fleet.store.written), 4)
+        await fleet.close()
+
+    async def test_bad_versions_are_taken_back(self) -> None:
+        cases = {
+            "at once": Bad(0.0, 0.4),
+            "later": Bad(8.0, 0.4),
+            "at the end": Bad(10.9, 0.5),
+            "slow": Bad(0.0, 0.9, slow=5.0),
+            "under load": Bad(0.0, 0.5, busy=6.0),
+        }
+        for name, bad in cases.items():
+            with self.subTest(name):
+                fleet = Fleet(bad.script)
+                await self.play(fleet)
+                self.assertEqual(fleet.state.phase, RolloutPhase.ROLLED_BACK)
+                self.check_exposure(fleet, bad)
+                await fleet.close()
+
+    async def test_verdict_holds_while_the_store_is_away(self) -> None:
+        bad = Bad(4.0, 0.6)
+        fleet = Fleet(bad.script)
+        await fleet.start()
+        await asyncio.sleep(1.5)
+        fleet.store.away = True
+        fleet.store.wake()
+        await asyncio.sleep(8.0)
+        self.check_exposure(fleet, bad)
+        fleet.store.away = False
+        await asyncio.sleep(3.0)
+        self.assertEqual(fleet.state.phase, RolloutPhase.ROLLED_BACK)
+        await fleet.close()
+
+    async def test_writers_that_are_killed_are_followed_by_others(self) -> None:
+        fleet = Fleet()
+        await fleet.start()
+        for _ in range(2):
+            await asyncio.sleep(3.0)
+            first = min(fleet.instances, key=lambda instance: instance.peers.rank())
+            fleet.instances.remove(first)
+            await first.close()
+        await asyncio.sleep(SECONDS - 6.0)
+        self.assertEqual(fleet.state.phase, RolloutPhase.COMPLETED)
+        await fleet.close()
+
+    async def test_writer_that_the_store_turns_away_is_stood_in_for(self) -> None:
+        fleet = Fleet()
+        await fleet.start()
+        first = min(fleet.instances, key=lambda instance: instance.peers.rank())
+        first.rollouts.store = StoreModel()
+        first.rollouts.store.away = True
+        await asyncio.sleep(SECONDS)
+        self.assertEqual(fleet.state.phase, RolloutPhase.COMPLETED)
+        await fleet.close()
+
+    async def test_all_are_killed_in_the_middle(self) -> None:
+        fleet = Fleet()
+        await fleet.start()
+        await asyncio.sleep(4.0)
+        await fleet.close()
+        fleet.instances.clear()
+        await asyncio.sleep(1.0)
+        for number in range(10, 14):
+            await fleet.add(number)
+        await asyncio.sleep(SECONDS - 5.0)
+        self.assertEqual(fleet.state.phase, RolloutPhase.COMPLETED)
+        await fleet.close()
+
+    async def test_lost_answers_of_writes(self) -> None:
+        fleet = Fleet()
+        fleet.store.lose_answers = True
+        await self.play(fleet)
+        self.assertEqual(fleet.state.phase, RolloutPhase.COMPLETED)
+        self.assertEqual(len(fleet.store.written), 4)
+        await fleet.close()
+
+    async def test_paused_writer_changes_nothing(self) -> None:
+        fleet = Fleet()
+        await self.play(fleet, 3.0)
+        stale = WatchedItem("desk", 2, RolloutOrder("desk", "v2", SECONDS, 9))
+        before = fleet.state
+        held = await fleet.store.write_rollout(stale, RolloutState(RolloutPhase.COMPLETED, 1.0))
+        self.assertEqual((fleet.state, held.value.state), (before, before))
+        await fleet.close()
+
+    async def test_version_without_upstreams_is_taken_back_at_the_deadline(self) -> None:
+        fleet = Fleet()
+        await fleet.start()
+        for instance in fleet.instances:
+            for upstream in instance.upstreams[3:]:
+                instance.world.fleet.remove(upstream.record.name, "never came")
+        await asyncio.sleep(SECONDS)
+        self.assertEqual(fleet.state.phase, RolloutPhase.ROLLED_BACK)
+        await fleet.close()
+
+    async def test_withdrawn_order_frees_the_service(self) -> None:
+        fleet = Fleet()
+        await self.play(fleet, 3.0)
+        fleet.store.put(ROLLOUTS, "desk", None)
+        await asyncio.sleep(1.0)
+        self.assertEqual([instance.world.fleet.splits for instance in fleet.instances], [{}] * 4)
+        await fleet.close()
+
+    async def test_cut_off_instances_are_not_waited_for_once_they_are_silent(self) -> None:
+        fleet = Fleet()
+        await fleet.start()
+        await asyncio.sleep(4.0)
+        for other in "abc":
+            fleet.network.cut("d", other)
+        await asyncio.sleep(SECONDS - 4.0)
+        self.assertEqual(fleet.state.phase, RolloutPhase.COMPLETED)
+        await fleet.close()
--- a/libs/moves/src/mimosahoist/moves/evidence.py
+++ b/libs/moves/src/mimosahoist/moves/evidence.py
@@ -7,10 +7,12 @@
 
 from mimosahoist.core.metrics import SlidingQuantile
 from mimosahoist.core.tasks import unix_time
-from mimosahoist.moves.sequential_test import Counts
+from mimosahoist.moves.sequential_test import Counts, judge
 from mimosahoist.peers.facts import FactKind
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from mimosahoist.query.service import CallEvidence
 
 EVIDENCE_PREFIX = "evidence/"
@@ -69,17 +71,25 @@
         self.buckets: deque[Window] = deque([Window()], maxlen=LONG_BUCKETS)
         self.baseline = SlidingQuantile(BASELINE_PERCENT, float("inf"))
 
-    def record(self, is_new: bool, failed: bool, elapsed: float | None) -> None:
-        """Count one exchange."""
+    def record(self, is_new: bool, failed: bool, elapsed: float | None, ended: bool = True) -> None:
+        """Count one exchange.
+
+        Parameters
+        ----------
+        ended : bool
+            False if the exchange was given up after `elapsed`; it counts only if it was slow.
+        """
         timed = not failed and elapsed is not None
         slow = timed and elapsed > self.baseline.value * SLOW_MARGIN
+        if not ended and not slow:
+            return
         counts = Counts(1, int(failed), int(slow))
         current = self.buckets[-1]
         if is_new:
             self.buckets[-1] = current._replace(new=add(current.new, counts))
             return
         self.buckets[-1] = current._replace(old=add(current.old, counts))
-        if timed:
+        if timed and ended:
             self.baseline.record(elapsed)
 
     def turn(self) -> None:
@@ -110,13 +120,15 @@
 
     def record(self, evidence: CallEvidence) -> None:
         """Count an exchange with either version."""
-        if evidence.version not in (self.source, self.target):
-            return
-        route = evidence.route
+        if evidence.version in (self.source, self.target):
+            is_new = evidence.version == self.target
+            self.counter(evidence.route).record(is_new, evidence.failed, evidence.elapsed)
+
+    def counter(self, route: str) -> RouteCounter:
+        """Counter of a route; routes beyond the first few share one."""
         if route not in self.routes and len(self.routes) >= MAX_ROUTES:
             route = OTHER_ROUTES
-        is_new = evidence.version == self.target
-        self.routes[route].record(is_new, evidence.failed, evidence.elapsed)
+        return self.routes[route]
 
     def turn(self) -> None:
         """Begin new buckets."""
@@ -153,6 +165,28 @@
         return at - value[0] > BUCKET_SECONDS * LONG_BUCKETS
 
 
+def merge_records(records: Iterable[tuple[str, list[float]]]) -> dict[str, RouteEvidence]:
+    """Sum of all instances' recent records by route, given with keys that end in the route."""
+    merged: dict[str, RouteEvidence] = {}
+    at = unix_time()
+    kind = EvidenceFacts()
+    for key, value in records:
+        if not kind.expired(value, at):
+            route = key.rpartition("/")[2]
+            merged[route] = merged.get(route, RouteEvidence()).plus(unflatten(value[1:]))
+    return merged
+
+
+def find_fault(merged: dict[str, RouteEvidence]) -> str | None:
+    """Reason why the evidence rejects the new version, or None."""
+    for route, evidence in merged.items():
+        for window in evidence:
+            reason = judge(window.old, window.new)
+            if reason is not None:
+                return f"route '{route}': {reason}"
+    return None
+
+
 class VerdictFacts(FactKind):
     """Verdicts on moves: once bad, always bad; value is ``[unix time, reason]``."""
 
--- a/libs/moves/src/mimosahoist/moves/follower.py
+++ b/libs/moves/src/mimosahoist/moves/follower.py
@@ -15,9 +15,9 @@
     MoveEvidence,
     RouteEvidence,
     VerdictFacts,
-    unflatten,
+    find_fault,
+    merge_records,
 )
-from mimosahoist.moves.sequential_test import judge
 from mimosahoist.platform import kinds
 from mimosahoist.query.service import VersionRoute
 
@@ -166,25 +166,15 @@
 
     def merged_evidence(self, move: ActiveMove) -> dict[str, RouteEvidence]:
         """Sum of all instances' counts by route."""
-        merged: dict[str, RouteEvidence] = {}
-        at = unix_time()
-        kind = EvidenceFacts()
-        for key, value in self.board.values(f"{EVIDENCE_PREFIX}{move.name}/"):
-            if not kind.expired(value, at):
-                route = key.rpartition("/")[2]
-                merged[route] = merged.get(route, RouteEvidence()).plus(unflatten(value[1:]))
-        return merged
+        return merge_records(self.board.values(f"{EVIDENCE_PREFIX}{move.name}/"))
 
     def judge_move(self, move: ActiveMove) -> None:
         """Publish a verdict if the evidence rejects the new version."""
         if self.verdict(move) is not None:
             return
-        for route, evidence in self.merged_evidence(move).items():
-            for window in evidence:
-                reason = judge(window.old, window.new)
-                if reason is not None:
-                    self.condemn(move, f"route '{route}': {reason}")
-                    return
+        fault = find_fault(self.merged_evidence(move))
+        if fault is not None:
+            self.condemn(move, fault)
 
     def condemn(self, move: ActiveMove, reason: str) -> None:
         """Declare the new version bad, everywhere and for good."""
--- a/libs/platform/src/mimosahoist/platform/watched.py
+++ b/libs/platform/src/mimosahoist/platform/watched.py
@@ -67,3 +67,20 @@
         HistoryLost
             If the store has discarded that part of its history.
         """
+
+    @abstractmethod
+    async def write_rollout(self, item: WatchedItem, state: Any) -> WatchedItem:
+        """Store a rollout's progress, unless its object changed since `item` was read.
+
+        Parameters
+        ----------
+        item : WatchedItem
+            The order with the revision that the write depends on.
+        state : object
+            Progress to store beside the order.
+
+        Returns
+        -------
+        WatchedItem
+            What the store holds now: with the new state, or as another writer left it.
+        """
