--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -24,7 +24,7 @@
     MemberState,
     ObservedFacts,
 )
-from mimosahoist.peers.prober import ACK_TIMEOUT, PROBE_INTERVAL, Prober
+from mimosahoist.peers.prober import ACK_TIMEOUT, PROBE_INTERVAL, Prober, ProbingMember
 from mimosahoist.peers.progress import Position, ProgressTable
 
 if TYPE_CHECKING:
@@ -53,7 +53,7 @@
     failure_domain: str
 
 
-class PeerExchange:
+class PeerExchange(ProbingMember):
     """Probes one member an interval, and syncs facts and copies with every frame.
 
     Failure detection follows SWIM: a direct probe, indirect probes through others, suspicion,
@@ -134,6 +134,11 @@
         key = OBSERVED_PREFIX + self.identity.instance
         self.board.publish(key, [self.identity.incarnation, revision])
 
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self.identity.instance
+
     def members(self) -> dict[str, Member]:
         """All known members by instance name, this one included; not to be changed."""
         if self.cached_at != self.board.changes[MEMBER_PREFIX]:
--- a/libs/peers/src/mimosahoist/peers/prober.py
+++ b/libs/peers/src/mimosahoist/peers/prober.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.tasks import now, unix_time
@@ -11,8 +12,13 @@
 from mimosahoist.peers.members import MEMBER_PREFIX, Member, MemberState
 
 if TYPE_CHECKING:
-    from mimosahoist.peers.exchange import PeerExchange
+    import random
+
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.peers.facts import FactBoard
     from mimosahoist.peers.frames import Frame
+    from mimosahoist.peers.transport import PeerTransport
+    from mimosahoist.platform.versioned import VersionedCopy
 
 PROBE_INTERVAL = 0.5
 ACK_TIMEOUT = 0.25
@@ -22,14 +28,53 @@
 MAX_HEALTH_PENALTY = 4
 
 
+class ProbingMember(ABC):
+    """A member as its prober uses it.
+
+    Attributes
+    ----------
+    instances : VersionedCopy
+        Instances that the platform lists.
+    """
+
+    transport: PeerTransport
+    board: FactBoard
+    instances: VersionedCopy
+    metrics: Metrics
+    rng: random.Random
+
+    @property
+    @abstractmethod
+    def name(self) -> str:
+        """Name of this member."""
+
+    @abstractmethod
+    def members(self) -> dict[str, Member]:
+        """Records of all members by name."""
+
+    @abstractmethod
+    def peer_addresses(self) -> dict[str, str]:
+        """Addresses of the other members that are worth a probe, by name."""
+
+    @abstractmethod
+    def send(
+        self, name: str, address: str, kind: FrameKind, number: int, *, target: str = ""
+    ) -> None:
+        """Send a frame to a member."""
+
+    @abstractmethod
+    def tell_listeners(self, name: str, member: Member) -> None:
+        """Tell that a member's record changed."""
+
+
 class Prober:
     """Probes one member an interval: directly, then through others; suspects, then buries.
 
     An instance that misses many answers is slower to accuse, as it may itself be the slow one.
     """
 
-    def __init__(self, exchange: PeerExchange) -> None:
-        self.exchange = exchange
+    def __init__(self, member: ProbingMember) -> None:
+        self.member = member
         self.numbers = itertools.count(1)
         self.acks: dict[int, asyncio.Future[None]] = {}
         self.rounds: list[str] = []
@@ -50,11 +95,11 @@
         """Probe one member an interval, each once a round in random order."""
         while True:
             started = now()
-            addresses = self.exchange.peer_addresses()
+            addresses = self.member.peer_addresses()
             self.rounds = [name for name in self.rounds if name in addresses]
             if not self.rounds:
                 self.rounds = list(addresses)
-                self.exchange.rng.shuffle(self.rounds)
+                self.member.rng.shuffle(self.rounds)
             if self.rounds:
                 name = self.rounds.pop()
                 await self.probe(name, addresses[name], addresses)
@@ -70,11 +115,11 @@
         self.dead_countdown = DEAD_PROBE_ROUNDS
         dead = [
             (name, member.peer_address)
-            for name, member in self.exchange.members().items()
-            if member.state == MemberState.DEAD and name != self.exchange.identity.instance
+            for name, member in self.member.members().items()
+            if member.state == MemberState.DEAD and name != self.member.name
         ]
         if dead:
-            name, address = self.exchange.rng.choice(dead)
+            name, address = self.member.rng.choice(dead)
             await self.ping(name, address, ACK_TIMEOUT)
 
     async def probe(self, name: str, address: str, addresses: dict[str, str]) -> None:
@@ -87,19 +132,19 @@
             self.health_penalty = max(0, self.health_penalty - 1)
             return
         self.raise_penalty()
-        self.exchange.metrics.count("peer_probes_missed")
-        self.exchange.transport.forget(address)
+        self.member.metrics.count("peer_probes_missed")
+        self.member.transport.forget(address)
         others = [other for other in addresses if other != name]
-        helpers = self.exchange.rng.sample(others, min(INDIRECT_PROBES, len(others)))
+        helpers = self.member.rng.sample(others, min(INDIRECT_PROBES, len(others)))
         if helpers and await self.ping_through(name, helpers, addresses, timeout):
             return
-        member = self.exchange.members().get(name) or self.listed_member(name)
+        member = self.member.members().get(name) or self.listed_member(name)
         if member is not None and member.state == MemberState.ALIVE:
             self.accuse(name, member, MemberState.SUSPECT)
 
     def listed_member(self, name: str) -> Member | None:
         """Record for an instance that the platform lists but that no member has heard of."""
-        listed = self.exchange.instances.value(name)
+        listed = self.member.instances.value(name)
         if listed is None:
             return None
         return Member(
@@ -116,7 +161,7 @@
         number = next(self.numbers)
         answered = asyncio.get_running_loop().create_future()
         self.acks[number] = answered
-        self.exchange.send(name, address, FrameKind.PING, number)
+        self.member.send(name, address, FrameKind.PING, number)
         try:
             await asyncio.wait_for(answered, timeout)
         except TimeoutError:
@@ -133,9 +178,7 @@
         answered = asyncio.get_running_loop().create_future()
         self.acks[number] = answered
         for helper in helpers:
-            self.exchange.send(
-                helper, addresses[helper], FrameKind.PING_REQUEST, number, target=name
-            )
+            self.member.send(helper, addresses[helper], FrameKind.PING_REQUEST, number, target=name)
         try:
             await asyncio.wait_for(answered, 2 * timeout)
         except TimeoutError:
@@ -146,20 +189,20 @@
 
     async def relay_ping(self, frame: Frame) -> None:
         """Ping a member for another one and pass the answer on."""
-        address = self.exchange.peer_addresses().get(frame.target)
+        address = self.member.peer_addresses().get(frame.target)
         if address is not None and await self.ping(frame.target, address, ACK_TIMEOUT):
-            self.exchange.send(frame.sender, frame.peer_address, FrameKind.ACK, frame.number)
+            self.member.send(frame.sender, frame.peer_address, FrameKind.ACK, frame.number)
 
     def accuse(self, name: str, member: Member, state: MemberState) -> None:
         """Declare a member suspect or dead."""
         record = member._replace(state=int(state), since=unix_time())
-        self.exchange.board.publish(MEMBER_PREFIX + name, list(record), urgent=True)
-        self.exchange.tell_listeners(name, record)
+        self.member.board.publish(MEMBER_PREFIX + name, list(record), urgent=True)
+        self.member.tell_listeners(name, record)
 
     def bury_suspects(self) -> None:
         """Declare dead who stayed suspect for too long."""
         patience = SUSPICION_SECONDS * (1 + self.health_penalty)
-        for name, member in self.exchange.members().items():
+        for name, member in self.member.members().items():
             suspected = member.state == MemberState.SUSPECT
             if suspected and unix_time() - member.since > patience:
                 self.accuse(name, member, MemberState.DEAD)
--- a/libs/upstream/src/mimosahoist/upstream/call.py
+++ b/libs/upstream/src/mimosahoist/upstream/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -9,7 +10,18 @@
     from collections.abc import Callable
 
     from mimosahoist.upstream.transport import ExchangeFailure, Reply
-    from mimosahoist.upstream.upstream import Upstream
+
+
+class CallTarget(ABC):
+    """What a call is sent to.
+
+    Attributes
+    ----------
+    name : str
+        Name in the platform's list.
+    """
+
+    name: str
 
 
 @dataclass(slots=True)
@@ -35,7 +47,7 @@
     request: str
     deadline: float
     done: Callable[[Call], None]
-    upstream: Upstream | None = None
+    upstream: CallTarget | None = None
     outcome: Reply | ExchangeFailure | None = None
     started: float = 0.0
     elapsed: float = 0.0
--- a/libs/upstream/src/mimosahoist/upstream/pool.py
+++ b/libs/upstream/src/mimosahoist/upstream/pool.py
@@ -6,7 +6,7 @@
 
 from mimosahoist.core.metrics import SlidingQuantile
 from mimosahoist.core.tasks import TaskSet, now
-from mimosahoist.upstream.upstream import Upstream
+from mimosahoist.upstream.upstream import Upstream, UpstreamGroup
 
 if TYPE_CHECKING:
     import random
@@ -23,16 +23,8 @@
 OTHER_VERSION_PENALTY = 1000.0
 
 
-class UpstreamPool:
-    """Upstreams of a service.
-
-    Attributes
-    ----------
-    domains_out : frozenset of str
-        Failure domains that operators have taken out.
-    versions_wanted : frozenset of str
-        Versions that get traffic or are warmed up for it.
-    """
+class UpstreamPool(UpstreamGroup):
+    """Upstreams of a service."""
 
     def __init__(
         self,
--- a/libs/upstream/src/mimosahoist/upstream/status_poller.py
+++ b/libs/upstream/src/mimosahoist/upstream/status_poller.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from abc import abstractmethod
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from mimosahoist.core.tasks import now
 from mimosahoist.upstream import messages
-from mimosahoist.upstream.call import Call
+from mimosahoist.upstream.call import Call, CallTarget
 from mimosahoist.upstream.quota import leads
 from mimosahoist.upstream.transport import ExchangeFailure, FailureKind, Reply
 
 if TYPE_CHECKING:
-    from mimosahoist.upstream.transport import Connection
-    from mimosahoist.upstream.upstream import Upstream
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.core.tasks import TaskSet
+    from mimosahoist.platform.kinds import ServiceSpec
+    from mimosahoist.upstream.health import Health
+    from mimosahoist.upstream.quota import ShareView
+    from mimosahoist.upstream.ramp import Ramp
+    from mimosahoist.upstream.transport import Connection, Transport
 
 STATUS_INTERVAL = 1.0
 STATUS_INTERVAL_EJECTED = 0.25
@@ -25,10 +31,70 @@
 WARM_REPORT_SECONDS = 3.0
 
 
+class PolledUpstream(CallTarget):
+    """An upstream as its status poller uses it.
+
+    Attributes
+    ----------
+    unsure : bool
+        Whether it may have restarted since its last report.
+    status : UpstreamStatus or None
+        Its last report.
+    """
+
+    address: str
+    spec: ServiceSpec
+    transport: Transport
+    tasks: TaskSet
+    metrics: Metrics
+    shares: ShareView
+    ramp: Ramp
+    health: Health
+    unsure: bool
+    status: messages.UpstreamStatus | None
+
+    @property
+    @abstractmethod
+    def wanted(self) -> bool:
+        """Whether its version gets traffic or is warmed up for it."""
+
+    @abstractmethod
+    def available(self, at: float) -> bool:
+        """Whether new work may go to it at all."""
+
+    @abstractmethod
+    def has_room(self, at: float) -> bool:
+        """Whether one more call may be sent now."""
+
+    @abstractmethod
+    def submit(self, call: Call) -> None:
+        """Send a call."""
+
+    @abstractmethod
+    def observe(self, call: Call, reported_warm: bool, incarnation: int) -> None:
+        """Learn from an answer about warmth and restarts."""
+
+    @abstractmethod
+    def promote_if_leading(self, at: float) -> None:
+        """Enter the next stage of slow start, if it is this instance that decides it."""
+
+    @abstractmethod
+    def accept_status(self, status: messages.UpstreamStatus) -> None:
+        """Learn from a status report."""
+
+    @abstractmethod
+    def handle_closed(self) -> None:
+        """The upstream closed an idle connection: it may have restarted."""
+
+    @abstractmethod
+    def handle_failure(self, failure: ExchangeFailure, at: float) -> None:
+        """Count a failed exchange."""
+
+
 class StatusPoller:
     """The task that polls an upstream's status, and probes it while it warms up."""
 
-    def __init__(self, upstream: Upstream) -> None:
+    def __init__(self, upstream: PolledUpstream) -> None:
         self.upstream = upstream
         self.metrics = upstream.metrics
         self.control: Connection | None = None
@@ -87,9 +153,8 @@
     def needs_warm_up(self) -> bool:
         """Whether it is this instance's task to gather evidence of warmth."""
         upstream = self.upstream
-        wanted = upstream.version in upstream.pool.versions_wanted
         cold = not upstream.ramp.warm and upstream.available(now())
-        return wanted and cold and leads(upstream.name, upstream.shares)
+        return upstream.wanted and cold and leads(upstream.name, upstream.shares)
 
     def poll_interval(self) -> float:
         """Seconds until the next poll."""
--- a/libs/upstream/src/mimosahoist/upstream/upstream.py
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -11,15 +12,14 @@
 from mimosahoist.upstream.health import Health
 from mimosahoist.upstream.quota import ShareView, leads, share_of
 from mimosahoist.upstream.ramp import Ramp, RampState
-from mimosahoist.upstream.status_poller import StatusPoller
+from mimosahoist.upstream.status_poller import PolledUpstream, StatusPoller
 from mimosahoist.upstream.transport import ExchangeFailure, FailureKind, Reply
 
 if TYPE_CHECKING:
-    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.core.metrics import Metrics, SlidingQuantile
     from mimosahoist.platform.kinds import ServiceSpec
     from mimosahoist.upstream import messages
     from mimosahoist.upstream.call import Call
-    from mimosahoist.upstream.pool import UpstreamPool
     from mimosahoist.upstream.transport import Connection, Transport
 
 CONTROL_CONNECTIONS = 1
@@ -30,7 +30,43 @@
 RETIRE_POLL_SECONDS = 0.05
 
 
-class Upstream:
+class UpstreamGroup(ABC):
+    """The upstreams of a service as one of them uses the group.
+
+    Attributes
+    ----------
+    domains_out : frozenset of str
+        Failure domains that operators have taken out.
+    versions_wanted : frozenset of str
+        Versions that get traffic or are warmed up for it.
+    median : SlidingQuantile
+        Answer times of warm upstreams in seconds.
+    """
+
+    metrics: Metrics
+    shares: ShareView
+    domains_out: frozenset[str]
+    versions_wanted: frozenset[str]
+    median: SlidingQuantile
+
+    @abstractmethod
+    def typical_latency(self) -> float | None:
+        """Median seconds of warm upstreams, if there are enough answers."""
+
+    @abstractmethod
+    def handle_room(self) -> None:
+        """An upstream may have room."""
+
+    @abstractmethod
+    def handle_snapshots(self) -> None:
+        """Snapshots or upstreams changed."""
+
+    @abstractmethod
+    def publish_ramp(self, name: str, state: RampState) -> None:
+        """Tell the other instances of a new ramp state."""
+
+
+class Upstream(PolledUpstream):
     """Connections, limits and health of one upstream.
 
     Each data connection has a task that takes calls one after the other; a further task polls the
@@ -45,7 +81,7 @@
         version: str,
         spec: ServiceSpec,
         transport: Transport,
-        pool: UpstreamPool,
+        pool: UpstreamGroup,
     ) -> None:
         self.name = name
         self.address = address
@@ -54,8 +90,8 @@
         self.spec = spec
         self.transport = transport
         self.pool = pool
-        self.metrics: Metrics = pool.metrics
-        self.shares: ShareView = pool.shares
+        self.metrics = pool.metrics
+        self.shares = pool.shares
         self.ramp = Ramp(spec["cold_concurrency"], spec["slots"] + spec["queue"])
         self.health = Health()
         self.tasks = TaskSet()
@@ -74,6 +110,11 @@
         self.cached_limit = 0
         self.limit_inputs: tuple[int, int, int] | None = None
 
+    @property
+    def wanted(self) -> bool:
+        """Whether its version gets traffic or is warmed up for it."""
+        return self.version in self.pool.versions_wanted
+
     async def start(self) -> None:
         """Begin to poll the status."""
         await self.poller.start()
