Slow headers get 408; doubled calls are logged; one contract for mergers of parts

Cause: the server below knows one time for a slow header and for an idle connection, so a header that never became whole held its connection for the idle time and got no answer; a hedge left no line in the log; the merger of the product's own hits was a function outside the seam. Now: unread bytes on a connection without a request are timed; one line a search tells which shards were doubled and what the budget holds; RecordMerger and HitMerger stand under one contract test. Tests that failed first: test_headers_that_do_not_become_whole_get_408 (no such method, no answer).

--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -18,11 +18,11 @@
     import random
     from collections.abc import Iterable
 
+    from mimosahoist.core.merging import PartMerger
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.declarations import Route
     from mimosahoist.forward.fleet import UpstreamFleet
     from mimosahoist.forward.headers import HeaderNames
-    from mimosahoist.forward.merge import PartMerger
     from mimosahoist.forward.outcomes import CallOutcome
     from mimosahoist.forward.request import CallerRequest
     from mimosahoist.forward.upstream import Upstream
@@ -47,7 +47,7 @@
         self,
         fleet: UpstreamFleet,
         names: HeaderNames,
-        merger: PartMerger,
+        merger: PartMerger[bytes],
         failure_domain: str,
         metrics: Metrics,
         rng: random.Random,
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -5,7 +5,7 @@
 import asyncio
 from http.client import responses
 from typing import TYPE_CHECKING
-from weakref import WeakSet
+from weakref import WeakKeyDictionary, WeakSet
 
 from tornado.httputil import (
     HTTPHeaders,
@@ -13,7 +13,7 @@
     HTTPServerConnectionDelegate,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
@@ -35,6 +35,7 @@
     from mimosahoist.forward.dispatcher import Dispatcher
 
 STATUS_TOO_SLOW = 408
+TOO_SLOW_ANSWER = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 STATUS_TOO_LARGE = 413
 STATUS_HEADERS_TOO_LARGE = 431
 STATUS_UNAVAILABLE = 503
@@ -62,6 +63,7 @@
         self.tasks = TaskSet()
         self.connections: WeakSet[HTTP1ServerConnection] = WeakSet()
         self.busy: WeakSet[HTTP1ServerConnection] = WeakSet()
+        self.partial_since: WeakKeyDictionary[HTTP1ServerConnection, float] = WeakKeyDictionary()
 
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
@@ -76,6 +78,26 @@
         """Connections of callers that are not closed."""
         return sum(not connection.stream.closed() for connection in self.connections)
 
+    def refuse_slow_headers(self, at: float) -> None:
+        """Answer callers whose headers began and did not become whole in time.
+
+        The server below knows one time for both a slow header and an idle connection.
+
+        Parameters
+        ----------
+        at : float
+            Loop time in seconds.
+        """
+        for connection in list(self.connections):
+            if connection in self.busy or not unread_bytes(connection.stream):
+                self.partial_since.pop(connection, None)
+                continue
+            since = self.partial_since.setdefault(connection, at)
+            if at - since > self.dispatcher.limits.header_timeout:
+                self.dispatcher.metrics.count(f"answers_{STATUS_TOO_SLOW}")
+                connection.stream.write(TOO_SLOW_ANSWER)
+                connection.stream.close()
+
     def close_idle(self) -> None:
         """Close all connections that carry no request, in one step.
 
@@ -214,3 +236,8 @@
             self.connection.finish()
         except StreamClosedError:
             json_log.change("answer not written", reason="the caller closed the connection")
+
+
+def unread_bytes(stream: IOStream) -> int:
+    """Bytes that came and that nobody has taken yet; the stream itself does not tell."""
+    return stream._read_buffer_size
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -60,6 +60,7 @@
         self.needed = needed_parts(len(self.shards), self.route.min_coverage)
         self.changed = asyncio.Event()
         self.cut = request.aim - RETURN_SECONDS
+        self.doubled: list[str] = []
 
     async def run(self) -> RequestOutcome:
         """Search until the decision is to answer."""
@@ -76,6 +77,7 @@
                 await self.wait(decision.until)
         finally:
             self.release()
+            self.log_doubled(delay)
         return self.outcome(decision.verdict)
 
     def progress(self) -> Progress:
@@ -120,7 +122,8 @@
             if shard.part is None and at >= shard.next_send:
                 if shard.calls:
                     self.engine.note_overdue(shard.calls.values())
-                    self.send(shard)
+                    if self.send(shard):
+                        self.doubled.append(shard.service)
                     shard.next_send = self.request.deadline
                 else:
                     shard.next_send = at + ROOM_RETRY_SECONDS
@@ -201,6 +204,17 @@
         tried = f"{shard.sends} sent, {shard.runs} run"
         return f"{shard.service} ({tried}): {', '.join(states) or 'none listed'}"
 
+    def log_doubled(self, delay: float) -> None:
+        """Log once a search for which shards a second upstream was asked, and after what time."""
+        if self.doubled:
+            json_log.change(
+                "calls doubled",
+                request=self.request.id,
+                services=self.doubled,
+                after_milliseconds=round(delay * 1000, 1),
+                budget_left=round(self.engine.fleet.budget(self.doubled[0]).left(now()), 1),
+            )
+
     def log_failed_call(self, shard: ShardSearch, upstream: Upstream, outcome: CallOutcome) -> None:
         """Log a call that brought no part."""
         json_log.change(
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -135,10 +135,11 @@
         self.fleet.set_instances(max(self.settings.instances_expected, self.peers.possibly_alive()))
 
     async def watch_reach(self) -> None:
-        """Keep the belief about cuts and about what can be served."""
+        """Keep the belief about cuts and about what can be served; refuse slow headers."""
         while True:
             await asyncio.sleep(REACH_SECONDS)
             at = now()
+            self.front.refuse_slow_headers(at)
             for domain in self.peers.domains_heard(at - REACH_SECONDS):
                 self.engine.reach.note_peer(domain, at)
             self.engine.reach.review(at)
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -58,8 +58,8 @@
                 await self.wait(hedge_at)
                 if now() >= hedge_at and self.answer is None:
                     hedge_at = self.request.deadline
-                    if self.route.repeatable:
-                        self.send()
+                    if self.route.repeatable and self.send():
+                        self.log_doubled()
         finally:
             self.release()
         return self.outcome()
@@ -131,6 +131,16 @@
             return NotRun("no upstream took it", self.engine.rng.uniform(*RETRY_AFTER_SECONDS))
         return Failed("no upstream answered", timed_out=now() >= self.request.deadline)
 
+    def log_doubled(self) -> None:
+        """Log that a second upstream was asked."""
+        json_log.change(
+            "calls doubled",
+            request=self.request.id,
+            services=[self.service],
+            after_milliseconds=round((now() - self.request.arrived) * 1000, 1),
+            budget_left=round(self.engine.fleet.budget(self.service).left(now()), 1),
+        )
+
     def log_failed_call(self, upstream: Upstream, outcome: CallOutcome) -> None:
         """Log a call that brought no success."""
         json_log.change(
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -73,6 +73,21 @@
                 self.assertEqual((await self.ask(**request))[0], status)
         self.assertEqual(self.upstream.arrivals, [])
 
+    async def test_headers_that_do_not_become_whole_get_408(self) -> None:
+        at = asyncio.get_running_loop().time()
+        idle, _ = await self.connect()
+        reader, writer = await self.connect()
+        writer.write(b"GET /x/1 HTTP/1.1\r\nHost: h\r\n")
+        await asyncio.sleep(0.05)
+        self.front.refuse_slow_headers(at)
+        self.front.refuse_slow_headers(at + 0.15)
+        self.assertEqual(self.front.open_connections, 2)
+        self.front.refuse_slow_headers(at + 0.25)
+        self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 408 "))
+        self.assertFalse(idle.at_eof())
+        self.assertEqual(self.front.open_connections, 1)
+        self.assertEqual(self.upstream.arrivals, [])
+
     async def test_body_that_does_not_come_gets_408(self) -> None:
         status, _ = await self.ask(more="Content-Length: 10\r\n", body=b"x")
         self.assertEqual(status, 408)
--- /dev/null
+++ b/libs/forward/tests/test_merging.py
@@ -0,0 +1,75 @@
+"""One contract for all mergers of parts."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from mimosahoist.core.merging import PartMerger
+from mimosahoist.forward.merge import RECORD_BYTES, RecordMerger
+from mimosahoist.query.hit_merger import HitMerger
+from mimosahoist.upstream.messages import Hit
+
+MakePart = Callable[[random.Random, int], Any]
+
+
+def make_records(rng: random.Random, count: int) -> bytes:
+    """Records of few different values, so that many are equal."""
+    return b"".join(bytes([rng.randrange(4)]) * RECORD_BYTES for _ in range(count))
+
+
+def make_hits(rng: random.Random, count: int) -> list[Hit]:
+    """Hits of few different scores."""
+    return [Hit(float(rng.randrange(4)), f"id-{rng.randrange(50)}") for _ in range(count)]
+
+
+CODECS: dict[str, tuple[PartMerger[Any], MakePart, Any, int]] = {
+    "records": (RecordMerger(), make_records, b"", RECORD_BYTES),
+    "hits": (HitMerger(), make_hits, [], 1),
+}
+
+
+class MergerContractTest(unittest.TestCase):
+    def each(self) -> Any:
+        for name, codec in CODECS.items():
+            for seed in range(20):
+                with self.subTest(name, seed=seed):
+                    rng = random.Random(seed)
+                    parts = [codec[1](rng, rng.randrange(8)) for _ in range(rng.randrange(6))]
+                    yield *codec, rng, parts
+
+    def test_no_more_than_the_limit_and_no_less_than_there_are(self) -> None:
+        for merger, _, _, size, _, parts in self.each():
+            total = sum(len(part) for part in parts) // size
+            for limit in (0, 1, 5, 100):
+                merged = merger.merge(parts, limit)
+                self.assertEqual(len(merged) // size, min(limit, total))
+
+    def test_order_of_parts_changes_nothing(self) -> None:
+        for merger, _, _, _, rng, parts in self.each():
+            merged = merger.merge(parts, 5)
+            rng.shuffle(parts)
+            self.assertEqual(merger.merge(parts, 5), merged)
+
+    def test_merging_in_steps_gives_the_same(self) -> None:
+        for merger, _, _, _, _, parts in self.each():
+            half = len(parts) // 2
+            steps = [merger.merge(parts[:half], 5), merger.merge(parts[half:], 5)]
+            self.assertEqual(merger.merge(steps, 5), merger.merge(parts, 5))
+
+    def test_offset_leaves_out_the_first(self) -> None:
+        for merger, _, _, size, _, parts in self.each():
+            self.assertEqual(merger.merge(parts, 4, 3), merger.merge(parts, 7)[3 * size :])
+
+    def test_merged_part_stays_as_it_is(self) -> None:
+        for merger, _, _, _, _, parts in self.each():
+            merged = merger.merge(parts, 5)
+            self.assertEqual(merger.merge([merged], 5), merged)
+
+    def test_nothing_of_nothing(self) -> None:
+        for name, (merger, _, empty, _) in CODECS.items():
+            with self.subTest(name):
+                self.assertEqual(merger.merge([], 5), empty)
+                self.assertEqual(merger.merge([empty, empty], 5), empty)
--- a/libs/lab/src/mimosahoist/lab/capacity.py
+++ b/libs/lab/src/mimosahoist/lab/capacity.py
@@ -26,7 +26,7 @@
 from mimosahoist.lab.peer_mesh import PeerMesh
 from mimosahoist.lab.process_usage import read_usage
 from mimosahoist.lab.zmq_cost import zmq_costs
-from mimosahoist.query.search import merge_hits
+from mimosahoist.query.hit_merger import HitMerger
 from mimosahoist.upstream.curl_transport import CurlTransport
 from mimosahoist.upstream.messages import Hit
 
@@ -57,12 +57,13 @@
 def merge_cost() -> dict[str, float]:
     """Microseconds per merged hit, by number of hits."""
     rng = random.Random(1)
+    merger = HitMerger()
     costs = {}
     for size in MERGE_SIZES:
         hits = [Hit(rng.random(), f"id-{number}") for number in range(size)]
         started = time.process_time()
         for _ in range(MERGE_RUNS):
-            merge_hits(list(hits), 10, 0)
+            merger.merge([list(hits)], 10)
         costs[str(size)] = (time.process_time() - started) / MERGE_RUNS / size * MICROSECONDS
     return costs
 
--- a/libs/query/src/mimosahoist/query/search.py
+++ b/libs/query/src/mimosahoist/query/search.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-from operator import itemgetter
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.core.tasks import now
+from mimosahoist.query.hit_merger import HitMerger
 from mimosahoist.query.request import MissingShard, SearchResult
 from mimosahoist.query.search_context import SearchContext
 from mimosahoist.query.shard_task import REASON_NO_UPSTREAM, ShardTask
@@ -21,6 +20,7 @@
     from mimosahoist.query.service import Service
     from mimosahoist.upstream.messages import Hit
 
+MERGER = HitMerger()
 MERGE_MARGIN = 0.005
 MAX_RESTARTS = 3
 MIN_HEDGE_DELAY = 0.002
@@ -214,7 +214,7 @@
 
     def result(self) -> SearchResult:
         """Merge the answers of the one snapshot and state the coverage."""
-        hits: list[Hit] = []
+        parts: list[list[Hit]] = []
         missing = [MissingShard(shard, REASON_NO_UPSTREAM) for shard in self.plan.unheld]
         answered = 0
         for task in self.tasks:
@@ -222,31 +222,17 @@
                 missing.extend(MissingShard(shard, task.reason) for shard in task.group.shards)
             else:
                 answered += len(task.group.shards)
-                hits.extend(task.hits)
+                parts.append(task.hits)
         return SearchResult(
             self.request.request_id,
             self.plan.snapshot,
             self.plan.total,
             answered,
             sorted(missing),
-            merge_hits(hits, self.request.limit, self.request.offset),
+            MERGER.merge(parts, self.request.limit, self.request.offset),
         )
 
 
-def merge_hits(hits: list[Hit], limit: int, offset: int) -> list[Hit]:
-    """Best hits by score; equal scores are ordered by id.
-
-    Only hits that reach the last wanted score are sorted, as most of many shards' hits do not.
-    """
-    wanted = limit + offset
-    if len(hits) > wanted:
-        last = heapq.nlargest(wanted, [hit[0] for hit in hits])[-1]
-        hits = [hit for hit in hits if hit[0] >= last]
-    hits.sort(key=itemgetter(1))
-    hits.sort(key=itemgetter(0), reverse=True)
-    return hits[offset:wanted]
-
-
 def no_snapshot() -> Problem:
     """Problem for a service without any snapshot."""
     return Problem(
