Searches are gathered by the largest instances of a failure domain, or of another one that holds the shards

Ruled out: subsets of upstreams for each instance (a search needs every shard). Now: in each failure domain two or more of the largest instances gather; others pass the search on over HTTP/1.1, and gather by themselves only if it certainly was not begun. Limits of shards' upstreams go by four fifths to those that gather. An answer must be of the configuration in force at the asking instance. Tests: test_gatherers, test_relay.

--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -22,6 +22,7 @@
     from mimosahoist.forward.declarations import Route
     from mimosahoist.forward.engine import ForwardEngine
     from mimosahoist.forward.headers import HeaderNames
+    from mimosahoist.forward.relay import Relays
 
 NO_CONFIGURATION = NotRun("no configuration is known yet", 0.5)
 CRASHES_UPSTREAMS = NotRun("upstreams crash under this request", 1.0)
@@ -31,12 +32,28 @@
 
 
 class Dispatcher:
-    """Finds the route of a request and has it gathered or forwarded."""
+    """Finds the route of a request and has it gathered or forwarded.
+
+    Attributes
+    ----------
+    hop : str
+        What a request is here, in logs and counters.
+    relays : Relays or None
+        Other instances that may gather for this one.
+    """
+
+    hop = "request"
 
     def __init__(
-        self, beliefs: Beliefs, engine: ForwardEngine, names: HeaderNames, metrics: Metrics
+        self,
+        beliefs: Beliefs,
+        engine: ForwardEngine,
+        names: HeaderNames,
+        metrics: Metrics,
+        relays: Relays | None = None,
     ) -> None:
         self.beliefs = beliefs
+        self.relays = relays
         self.engine = engine
         self.names = names
         self.metrics = metrics
@@ -65,9 +82,16 @@
         request = self.make_request(route, method, target, headers, body)
         if self.engine.crashes.records and self.engine.crashes.rejects(request.fingerprint):
             return CRASHES_UPSTREAMS
-        if route.shards:
-            return await Gather(self.engine, request).run()
-        return await PlainForward(self.engine, request).run()
+        return await self.carry(request)
+
+    async def carry(self, request: CallerRequest) -> RequestOutcome:
+        """Have a request gathered, here or elsewhere, or run by one upstream."""
+        if not request.route.shards:
+            return await PlainForward(self.engine, request).run()
+        outcome = None
+        if self.relays is not None:
+            outcome = await self.relays.relay(request, self.beliefs.routes.configuration.version)
+        return outcome or await Gather(self.engine, request).run()
 
     def make_request(
         self, route: Route, method: str, target: str, headers: HTTPHeaders, body: bytes
@@ -97,13 +121,13 @@
     ) -> None:
         """Count an outcome, and log one that is no plain success."""
         name = type(outcome).__name__.lower()
-        self.metrics.count(f"requests_{name}")
-        self.metrics.latency(f"request_{name}").record(elapsed)
+        self.metrics.count(f"{self.hop}s_{name}")
+        self.metrics.latency(f"{self.hop}_{name}").record(elapsed)
         whole = isinstance(outcome, Gathered) and not outcome.missing
         if whole or (isinstance(outcome, Forwarded) and outcome.answer.good):
             return
         json_log.change(
-            "request ended",
+            f"{self.hop} ended",
             request=headers.get(self.names.request_id, ""),
             outcome=name,
             reason=getattr(outcome, "reason", ""),
--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -8,6 +8,7 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import ServiceLimits
 from mimosahoist.forward.repeat_budget import RepeatBudget
+from mimosahoist.forward.shares import Shares
 from mimosahoist.forward.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -36,13 +37,16 @@
         self.budgets: dict[str, RepeatBudget] = {}
         self.domains_out: frozenset[str] = frozenset()
         self.splits: dict[str, VersionSplit] = {}
-        self.instances = 1
+        self.shares = Shares()
+        self.shards: frozenset[str] = frozenset()
 
     def configure(self, configuration: Configuration) -> None:
         """Take the limits of a configuration."""
         self.limits = configuration.services
+        self.shards = frozenset(shard for route in configuration.routes for shard in route.shards)
         for upstream in self.by_name.values():
             upstream.limits = self.limits_of(upstream.record.service)
+        self.divide()
 
     def limits_of(self, service: str) -> ServiceLimits:
         """Limits of a service; undeclared ones are open."""
@@ -56,23 +60,31 @@
         for budget in self.budgets.values():
             budget.bounds = bounds
 
-    def set_instances(self, count: int) -> None:
-        """Divide shared limits by another number of instances."""
-        if count == self.instances:
+    def set_shares(self, shares: Shares) -> None:
+        """Divide shared limits among other instances."""
+        if shares == self.shares:
             return
-        json_log.change("instances", count=count, before=self.instances)
-        self.instances = count
+        json_log.change("limits shared", **shares._asdict())
+        self.shares = shares
+        self.divide()
+
+    def divide(self) -> None:
+        """Give every upstream and budget this instance's part."""
         for upstream in self.by_name.values():
-            upstream.instances = count
-        for budget in self.budgets.values():
-            budget.instances = count
+            upstream.divisor = self.divisor(upstream.record.service)
+        for service, budget in self.budgets.items():
+            budget.divisor = self.divisor(service)
+
+    def divisor(self, service: str) -> float:
+        """What the limits of a service are divided by here."""
+        return self.shares.divisor(service in self.shards)
 
     def budget(self, service: str) -> RepeatBudget:
         """Budget of extra sends to a service."""
         found = self.budgets.get(service)
         if found is None:
             found = RepeatBudget(self.bounds)
-            found.instances = self.instances
+            found.divisor = self.divisor(service)
             self.budgets[service] = found
         return found
 
@@ -96,7 +108,7 @@
         if held is not None:
             self.remove(record.name, "started again")
         upstream = Upstream(record, self.limits_of(record.service), self.bounds, self.names)
-        upstream.instances = self.instances
+        upstream.divisor = self.divisor(record.service)
         self.by_name[record.name] = upstream
         self.services.setdefault(record.service, {})[record.name] = upstream
         json_log.change("upstream listed", upstream=record.name, service=record.service)
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -16,9 +16,13 @@
 from mimosahoist.forward.fleet import UpstreamFleet
 from mimosahoist.forward.follower import StoreFollower
 from mimosahoist.forward.front import CallerFront
+from mimosahoist.forward.gathering import Gathering
 from mimosahoist.forward.merge import RecordMerger
 from mimosahoist.forward.peers import Peers
+from mimosahoist.forward.relay import Relays
+from mimosahoist.forward.relay_server import RelayDispatcher
 from mimosahoist.forward.rollouts import Rollouts
+from mimosahoist.forward.shares import Shares
 from mimosahoist.platform.watched import WatchedKind
 
 if TYPE_CHECKING:
@@ -60,7 +64,7 @@
         self.rng = rng
         self.tasks = TaskSet()
         self.fleet = UpstreamFleet(bounds, names)
-        self.fleet.set_instances(settings.instances_expected)
+        self.fleet.set_shares(Shares(settings.instances_expected))
         self.beliefs = Beliefs(self.fleet)
         self.beliefs.listeners.append(self.handle_belief)
         self.engine = ForwardEngine(
@@ -68,7 +72,8 @@
         )
         self.peers = Peers(settings, peer_transport, self.beliefs, self.metrics, rng)
         self.peers.share_crashes(self.engine.crashes)
-        self.peers.member_listeners.append(self.count_instances)
+        self.relays = Relays(self.engine)
+        self.gathering = Gathering(settings, self.peers, self.fleet, self.relays)
         self.follower = StoreFollower(
             store,
             self.beliefs,
@@ -81,8 +86,10 @@
         self.peers.outage_listeners.append(self.follower.hold_absence)
         self.rollouts = Rollouts(store, self.beliefs, self.fleet, self.peers, metrics)
         self.engine.call_listeners.append(self.rollouts.record)
-        self.dispatcher = Dispatcher(self.beliefs, self.engine, names, self.metrics)
+        self.dispatcher = Dispatcher(self.beliefs, self.engine, names, self.metrics, self.relays)
         self.front = CallerFront(self.dispatcher)
+        self.relay_dispatcher = RelayDispatcher(self.beliefs, self.engine, names, metrics)
+        self.relay_front = CallerFront(self.relay_dispatcher)
         self.servers: list[HTTPServer] = []
         self.draining = False
         self.able = True
@@ -93,6 +100,7 @@
         await self.peers.start()
         await self.follower.start()
         await self.rollouts.start()
+        await self.gathering.start()
         self.callers = HTTPServer(
             self.front, max_header_size=MAX_HEADER_BYTES, max_body_size=UNLIMITED_BYTES
         )
@@ -104,6 +112,12 @@
             ]
         )
         self.servers = [self.callers]
+        if self.settings.relay_address:
+            relayed = HTTPServer(
+                self.relay_front, max_header_size=MAX_HEADER_BYTES, max_body_size=UNLIMITED_BYTES
+            )
+            listen_on(relayed, self.settings.relay_address)
+            self.servers.append(relayed)
         for address in (self.settings.readiness_address, self.settings.metrics_address):
             server = HTTPServer(status)
             listen_on(server, address)
@@ -113,7 +127,9 @@
         json_log.change("listening", address=self.settings.callers_address)
 
     def handle_belief(self, kind: WatchedKind, item: WatchedItem) -> None:
-        """Put the callers' limits of a new configuration in force."""
+        """Put the callers' limits and the roles of a new configuration in force."""
+        if kind in (WatchedKind.CONFIGURATION, WatchedKind.DOMAINS_OUT):
+            self.gathering.changed.set()
         if kind is WatchedKind.CONFIGURATION:
             self.callers.conn_params.header_timeout = self.dispatcher.limits.idle_timeout
 
@@ -130,10 +146,6 @@
         self.follower.recheck_seconds = bounds.recheck_seconds
         json_log.change("bounds changed", **bounds._asdict())
 
-    def count_instances(self) -> None:
-        """Divide shared limits by all instances that may still be at work."""
-        self.fleet.set_instances(max(self.settings.instances_expected, self.peers.possibly_alive()))
-
     async def watch_reach(self) -> None:
         """Keep the belief about cuts and about what can be served; refuse slow headers."""
         while True:
@@ -174,25 +186,35 @@
         self.draining = True
         self.front.draining = True
         self.callers.conn_params.no_keep_alive = True
+        self.relay_dispatcher.leaving = True
+        self.peers.offer(0.0, "")
         json_log.change("draining", open_requests=self.front.open_requests)
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         self.callers.stop()
         latest = began + self.bounds.grace_seconds - DRAIN_MARGIN_SECONDS
         self.front.close_idle()
-        while self.front.open_connections and now() < latest:
+        while self.busy and now() < latest:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
             self.front.close_idle()
         json_log.change("drained", open_requests=self.front.open_requests)
         await self.peers.leave()
 
+    @property
+    def busy(self) -> bool:
+        """Whether callers are connected or searches of other instances are under way."""
+        return bool(self.front.open_connections or self.relay_front.open_requests)
+
     async def close(self) -> None:
         """Stop all parts."""
         for server in self.servers:
             server.stop()
         await self.tasks.close()
+        await self.gathering.close()
         await self.rollouts.close()
         await self.follower.close()
         await self.front.tasks.close()
+        await self.relay_front.tasks.close()
+        self.relays.close()
         await self.engine.close()
         await self.peers.close()
         await self.store.close()
--- a/libs/forward/src/mimosahoist/forward/instance_settings.py
+++ b/libs/forward/src/mimosahoist/forward/instance_settings.py
@@ -12,6 +12,10 @@
     ----------
     peer_seeds : tuple of str
         Peer addresses to try as long as no instance is known.
+    relay_address : str
+        Where other instances send searches to gather.
+    capacity : float
+        Processor time that this instance has, in cores.
     instances_expected : int
         Shared limits are divided by at least this many instances, also before peers are known.
     """
@@ -24,4 +28,6 @@
     metrics_address: str
     peer_address: str
     peer_seeds: tuple[str, ...]
+    relay_address: str = ""
+    capacity: float = 1.0
     instances_expected: int = 8
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -13,6 +13,7 @@
 from mimosahoist.forward.crash_watch import CRASH_PREFIX, CrashFacts, CrashRecord, CrashWatch
 from mimosahoist.forward.declarations import Configuration, UpstreamRecord
 from mimosahoist.forward.follower import FleetView
+from mimosahoist.forward.gatherers import Gatherer
 from mimosahoist.forward.rollout_order import RolloutOrder
 from mimosahoist.peers.exchange import Identity, PeerExchange
 from mimosahoist.peers.facts import FactBoard, FactKind
@@ -31,6 +32,7 @@
 
 CLUSTER = "mimosahoist"
 BELIEF_PREFIX = "belief/"
+GATHERER_PREFIX = "gatherer/"
 OUTAGE_KEY = "outages"
 WATCHERS = 3
 PEER_SILENCE_SECONDS = 1.0
@@ -61,6 +63,25 @@
         return max(list(held), list(received))
 
 
+class GathererFacts(FactKind):
+    """Offers to gather: number of the offer, capacity in cores, address; the latest wins."""
+
+    prefix = GATHERER_PREFIX
+
+    def valid(self, value: Any) -> bool:
+        """Check the form of a record."""
+        return (
+            isinstance(value, list | tuple)
+            and len(value) == 3
+            and all(isinstance(item, int | float) for item in value[:2])
+            and isinstance(value[2], str)
+        )
+
+    def join(self, held: Any, received: Any) -> Any:
+        """Keep the later offer."""
+        return max(list(held), list(received))
+
+
 class OutageFacts(FactKind):
     """Number of returns of the store after an outage, as far as anybody counted."""
 
@@ -112,16 +133,41 @@
             rng,
             list(settings.peer_seeds),
         )
+        self.offered: tuple[float, str] = (settings.capacity, settings.relay_address)
         self.member_listeners: list[Callable[[], None]] = []
         self.outage_listeners: list[Callable[[], None]] = []
         self.board.register(BeliefFacts(), self.handle_belief)
         self.board.register(OutageFacts(), self.handle_outage)
+        self.board.register(GathererFacts(), self.handle_offer)
         self.beliefs.listeners.append(self.publish_belief)
         self.exchange.member_listeners.append(self.handle_member)
 
     async def start(self) -> None:
         """Join the others."""
         await self.exchange.start()
+        self.offer(*self.offered)
+
+    def offer(self, capacity: float, address: str) -> None:
+        """Tell the others that this instance gathers, or no more with a capacity of zero."""
+        self.offered = (capacity, address)
+        key = GATHERER_PREFIX + self.name
+        before = self.board.value(key) or (0,)
+        self.board.publish(key, [before[0] + 1, capacity, address], urgent=True)
+
+    def handle_offer(self, key: str, value: Any) -> None:
+        """Renew this instance's offer if one of its former start has come back."""
+        if key == GATHERER_PREFIX + self.name and tuple(value[1:]) != self.offered:
+            self.offer(*self.offered)
+
+    def offers(self, names: set[str]) -> list[Gatherer]:
+        """Offers of some instances."""
+        members = self.exchange.members()
+        found = []
+        for key, (_, capacity, address) in self.board.values(GATHERER_PREFIX):
+            name = key[len(GATHERER_PREFIX) :]
+            if name in names and name in members and capacity > 0:
+                found.append(Gatherer(name, members[name].failure_domain, address, capacity))
+        return found
 
     async def leave(self) -> None:
         """Tell the others that this instance leaves."""
@@ -173,10 +219,10 @@
         for listener in self.outage_listeners:
             listener()
 
-    def possibly_alive(self) -> int:
+    def possibly_alive(self) -> set[str]:
         """Instances that may be at work, also beyond a cut: all that have not said they left."""
-        members = self.exchange.members().values()
-        return sum(member.state != MemberState.LEFT for member in members)
+        members = self.exchange.members()
+        return {name for name, member in members.items() if member.state != MemberState.LEFT}
 
     def domains_heard(self, since: float) -> set[str]:
         """Failure domains of instances that spoke after a loop time."""
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -0,0 +1,169 @@
+"""Searches that another instance gathers.
+
+The request passes over HTTP/1.1 like a call to an upstream, not over the peers' ZeroMQ sockets:
+a refused or closed connection tells at once that nothing was sent, and closing it cancels the work.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mimosahoist.core import json_log
+from mimosahoist.core.tasks import now
+from mimosahoist.forward.declarations import ServiceLimits, UpstreamRecord
+from mimosahoist.forward.engine import certainly_not_run
+from mimosahoist.forward.outcomes import (
+    Answered,
+    CallOutcome,
+    Failed,
+    Gathered,
+    LossKind,
+    Lost,
+    Refused,
+)
+from mimosahoist.forward.upstream import Upstream
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
+    from mimosahoist.forward.engine import ForwardEngine
+    from mimosahoist.forward.gatherers import Gatherer
+    from mimosahoist.forward.request import CallerRequest
+
+VERSION_HEADER = "X-Configuration-Version"
+NOT_RUN_STATUSES = frozenset((404, 408, 421, 429, 503))
+STATUS_TIMEOUT = 504
+TARGET_CONNECTIONS = 16
+TARGETS_TRIED = 2
+LATE_SHARE = 0.5
+
+
+class RelayTarget(Upstream):
+    """An instance that gathers for this one."""
+
+    def __init__(self, gatherer: Gatherer, engine: ForwardEngine) -> None:
+        record = UpstreamRecord(
+            gatherer.name, "", gatherer.address, gatherer.failure_domain, slots=TARGET_CONNECTIONS
+        )
+        limits = ServiceLimits("", connections=TARGET_CONNECTIONS)
+        super().__init__(record, limits, engine.fleet.bounds, engine.names)
+        self.version = 0
+
+    def headers_for(self, request: CallerRequest) -> HTTPHeaders:
+        """Headers of a relayed request: the caller's, the time left and the configuration."""
+        headers = super().headers_for(request)
+        headers[VERSION_HEADER] = str(self.version)
+        return headers
+
+    def judge(self, outcome: Answered | Lost, request: CallerRequest) -> CallOutcome:
+        """Tell a gathered answer and a failure from a refusal."""
+        if not isinstance(outcome, Answered):
+            return outcome
+        if outcome.status in NOT_RUN_STATUSES:
+            return Refused(outcome.status)
+        if outcome.good and self.names.part_signatures not in outcome.headers:
+            return Lost(LossKind.MALFORMED)
+        return outcome
+
+
+class Relays:
+    """Passes searches on to instances that gather.
+
+    Attributes
+    ----------
+    preferred : list of list of Gatherer
+        Gathering instances by failure domain, the preferred one first; empty if this instance
+        gathers by itself.
+    """
+
+    def __init__(self, engine: ForwardEngine) -> None:
+        self.engine = engine
+        self.preferred: list[list[Gatherer]] = []
+        self.targets: dict[Gatherer, RelayTarget] = {}
+
+    def set_preferred(self, preferred: list[list[Gatherer]]) -> None:
+        """Take another set of gathering instances; calls in flight go on to their end."""
+        if preferred == self.preferred:
+            return
+        self.preferred = preferred
+        names = [[gatherer.name for gatherer in domain] for domain in preferred]
+        json_log.change("searches gathered by", instances=names)
+        wanted = {gatherer for domain in preferred for gatherer in domain}
+        for gatherer in self.targets.keys() - wanted:
+            self.targets.pop(gatherer).close()
+
+    def usable(self) -> list[RelayTarget]:
+        """Instances to try, in order; those of one domain in random order."""
+        found: list[RelayTarget] = []
+        at = now()
+        for domain in self.preferred:
+            targets = [self.target(gatherer) for gatherer in domain]
+            reached = [
+                target
+                for target in targets
+                if target.has_room(at)
+                and target.record.failure_domain not in self.engine.reach.out_of_reach
+            ]
+            self.engine.rng.shuffle(reached)
+            found += reached
+        return found[:TARGETS_TRIED]
+
+    def target(self, gatherer: Gatherer) -> RelayTarget:
+        """Connections to a gathering instance."""
+        found = self.targets.get(gatherer)
+        if found is None:
+            found = RelayTarget(gatherer, self.engine)
+            self.targets[gatherer] = found
+        return found
+
+    async def relay(self, request: CallerRequest, version: int) -> Gathered | Failed | None:
+        """Have a search gathered elsewhere; None if nobody has begun it.
+
+        What may have begun is not begun again here, or shards would get more than the route's
+        attempts. A silent instance is not waited for to the deadline, so that the caller has time
+        to come again.
+
+        Parameters
+        ----------
+        version : int
+            Version of the configuration that found the route.
+        """
+        until = request.aim + LATE_SHARE * max(0.0, request.deadline - request.aim)
+        until = min(request.deadline, max(until, now()))
+        for target in self.usable():
+            target.version = version
+            outcome = await target.call(request, until)
+            self.learn(target, outcome)
+            if isinstance(outcome, Answered):
+                return self.decode(outcome)
+            if not certainly_not_run(outcome):
+                timed_out = outcome == Lost(LossKind.TIMEOUT)
+                return Failed(f"{target.record.name} gave no answer ({outcome})", timed_out)
+        return None
+
+    def learn(self, target: RelayTarget, outcome: CallOutcome) -> None:
+        """Count an outcome, and take it as a sign of life of the target's domain or of doubt."""
+        self.engine.metrics.count(f"relays_{type(outcome).__name__.lower()}")
+        if isinstance(outcome, Answered | Refused):
+            self.engine.reach.note_answer(target.record.failure_domain, now())
+        else:
+            self.engine.reach.note_failure(target.record.failure_domain, now())
+
+    def decode(self, answer: Answered) -> Gathered | Failed:
+        """Outcome that another instance's answer tells."""
+        if not answer.good:
+            reason = answer.body.decode(errors="replace")
+            return Failed(reason, answer.status == STATUS_TIMEOUT)
+        names = self.engine.names
+        signatures = [
+            signature.strip()
+            for value in answer.headers.get_list(names.part_signatures)
+            for signature in value.split(",")
+        ]
+        missing = answer.headers.get(names.missing_parts, "0")
+        return Gathered(answer.body, signatures, int(missing))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for target in self.targets.values():
+            target.close()
--- a/libs/forward/src/mimosahoist/forward/repeat_budget.py
+++ b/libs/forward/src/mimosahoist/forward/repeat_budget.py
@@ -1,8 +1,8 @@
 """Budget of extra sends to a service, divided among the instances.
 
 The bound holds for the sum over all instances and any window. Each instance earns by the first
-sends of its own callers' requests, so that part needs no agreement; the fixed slack is divided by
-the number of instances. An instance that believes in too few others is covered by the margin.
+sends of its own callers' requests, so that part needs no agreement; the fixed slack is divided
+among the instances. An instance that believes in too few others is covered by the margin.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
     def __init__(self, bounds: SharedBounds) -> None:
         self.bounds = bounds
-        self.instances = 1
+        self.divisor = 1.0
         self.firsts: deque[float] = deque()
         self.extras: deque[float] = deque()
 
@@ -41,7 +41,7 @@
     def left(self, at: float) -> float:
         """Extra sends that this instance may still make now."""
         self.expire(at)
-        slack = self.bounds.repeat_slack * SLACK_MARGIN / max(1, self.instances)
+        slack = self.bounds.repeat_slack * SLACK_MARGIN / self.divisor
         earned = self.bounds.repeat_ratio * RATIO_MARGIN * len(self.firsts)
         return earned + slack - len(self.extras)
 
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -59,6 +59,8 @@
     ----------
     in_flight : dict
         Loop time at which each unfinished call began, by call number.
+    divisor : float
+        What limits that hold for all instances are divided by here.
     gone : bool
         True once the list or the upstream's address says that it is no more.
     """
@@ -82,7 +84,7 @@
         self.number = 0
         self.open_connections = 0
         self.connections_opened = 0
-        self.instances = 1
+        self.divisor = 1.0
         self.cold_until = 0.0
         self.cold_sends: list[float] = []
         self.gone = False
@@ -98,7 +100,7 @@
         """Connections that this instance may hold: its part of what the upstream accepts."""
         if not self.limits.connections:
             return 1 << 16
-        return max(1, int(self.limits.connections * CONNECTION_MARGIN / max(1, self.instances)))
+        return max(1, int(self.limits.connections * CONNECTION_MARGIN / self.divisor))
 
     def cold(self, at: float) -> bool:
         """Whether the upstream said that it is still cold."""
@@ -110,7 +112,7 @@
             return True
         self.cold_sends = [sent for sent in self.cold_sends if sent > at - 1.0]
         rate = self.limits.cold_rate * self.bounds.cold_headroom + self.bounds.cold_slack
-        share = rate * COLD_MARGIN / max(1, self.instances)
+        share = rate * COLD_MARGIN / self.divisor
         if share < 1.0:
             return not self.cold_sends or self.cold_sends[-1] <= at - 1.0 / share
         return len(self.cold_sends) < int(share)
--- a/libs/forward/tests/test_decisions.py
+++ b/libs/forward/tests/test_decisions.py
@@ -60,7 +60,7 @@
         for instances in (1, 8, 12):
             budgets = [RepeatBudget(bounds) for _ in range(instances)]
             for budget in budgets:
-                budget.instances = instances
+                budget.divisor = instances
             firsts: list[float] = []
             extras: list[float] = []
             for step in range(8000):
@@ -84,7 +84,7 @@
         spent = 0
         for _ in range(8):
             budget = RepeatBudget(bounds)
-            budget.instances = 8
+            budget.divisor = 8
             spent += sum(budget.spend(1.0) for _ in range(100))
         self.assertLessEqual(spent, 56 * 0.6)
 
@@ -162,7 +162,7 @@
             world = World(bounds)
             upstream = world.add("s", "a")
             upstream.limits = upstream.limits.__class__("s", cold_rate=10.0)
-            upstream.instances = 8
+            upstream.divisor = 8
             upstream.cold_until = now() + 100.0
             for _ in range(50):
                 if upstream.has_room(now()):
--- /dev/null
+++ b/libs/forward/tests/test_gatherers.py
@@ -0,0 +1,79 @@
+"""Who gathers for whom, and what part of the shared limits each may use."""
+
+from __future__ import annotations
+
+import unittest
+
+from mimosahoist.forward.gatherers import (
+    Gatherer,
+    domain_order,
+    gathering_domains,
+    pick_gatherers,
+)
+from mimosahoist.forward.shares import Shares
+
+
+def offers(domain: str, capacities: list[float]) -> list[Gatherer]:
+    return [
+        Gatherer(f"{domain}-{number}", domain, f"10.0.0.{number}:1", capacity)
+        for number, capacity in enumerate(capacities)
+    ]
+
+
+class GatherersTest(unittest.TestCase):
+    def test_table_of_picks(self) -> None:
+        cases = [
+            ("two equal ones", [1.0, 1.0], 2, {0, 1}),
+            ("one alone", [1.0], 2, {0}),
+            ("large ones among small ones", [0.5] * 10 + [2.0, 2.0] + [0.5] * 7, 9, {10, 11}),
+            ("never fewer than two", [0.5] * 10 + [9.0], 9, {10}),
+        ]
+        for name, capacities, most, wanted in cases:
+            with self.subTest(name):
+                picked = pick_gatherers(offers("a", capacities), most)["a"]
+                numbers = {int(gatherer.name[2:]) for gatherer in picked}
+                self.assertLessEqual(wanted, numbers)
+                self.assertEqual(len(picked), min(2, len(capacities)))
+
+    def test_many_equal_ones_are_as_many_as_connections_allow(self) -> None:
+        for most, wanted in ((5, 5), (1, 2), (1000, 25)):
+            with self.subTest(most=most):
+                picked = pick_gatherers(offers("a", [1.0] * 100), most)["a"]
+                self.assertEqual(len(picked), wanted)
+
+    def test_all_instances_agree_whatever_the_order(self) -> None:
+        some = offers("a", [1.0] * 20) + offers("b", [0.5, 2.0] * 5)
+        self.assertEqual(pick_gatherers(some, 4), pick_gatherers(reversed(some), 4))
+
+    def test_domains_that_lack_the_shards_leave_it_to_others(self) -> None:
+        cases = [
+            ({"a": 1.0, "b": 1.0, "c": 0.0}, {"a", "b"}),
+            ({"a": 0.7, "b": 0.67, "c": 0.1}, {"a", "b"}),
+            ({"a": 0.2, "b": 0.1}, {"a", "b"}),
+            ({}, set()),
+        ]
+        for coverage, wanted in cases:
+            with self.subTest(coverage=coverage):
+                self.assertEqual(gathering_domains(coverage), wanted)
+
+    def test_own_domain_first_and_the_others_spread(self) -> None:
+        self.assertEqual(domain_order("x", "b", ["a", "b", "c"])[0], "b")
+        firsts = {domain_order(f"x{number}", "d", ["a", "b", "c"])[0] for number in range(20)}
+        self.assertEqual(firsts, {"a", "b", "c"})
+
+
+class SharesTest(unittest.TestCase):
+    def test_parts_of_all_instances_never_make_more_than_the_whole(self) -> None:
+        for instances in (1, 2, 8, 76, 300, 810):
+            for gatherers in {0, 1, min(8, instances), instances // 2, instances}:
+                for is_shard in (False, True):
+                    with self.subTest(instances=instances, gatherers=gatherers):
+                        total = sum(
+                            1 / Shares(instances, gatherers, number < gatherers).divisor(is_shard)
+                            for number in range(instances)
+                        )
+                        self.assertLessEqual(total, 1.0 + 1e-9)
+
+    def test_gathering_instances_get_most_of_it(self) -> None:
+        self.assertLess(Shares(76, 8, True).divisor(True), 11)
+        self.assertEqual(Shares(76, 8, True).divisor(False), 76)
--- /dev/null
+++ b/libs/forward/tests/test_relay.py
@@ -0,0 +1,160 @@
+"""Searches that another instance gathers, over real loopback connections."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from fakes import NAMES, World, answered, gathering
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
+from tornado.testing import bind_unused_port
+
+from mimosahoist.core.metrics import Metrics
+from mimosahoist.forward.beliefs import Beliefs
+from mimosahoist.forward.declarations import Configuration, SharedBounds
+from mimosahoist.forward.dispatcher import Dispatcher
+from mimosahoist.forward.front import CallerFront
+from mimosahoist.forward.gatherers import Gatherer
+from mimosahoist.forward.outcomes import Failed, Gathered
+from mimosahoist.forward.relay import Relays
+from mimosahoist.forward.relay_server import RelayDispatcher
+from mimosahoist.forward.routing import RouteTable
+
+ROOMY = SharedBounds(repeat_ratio=0.2, repeat_slack=1000.0)
+SHARDS = 4
+ROUTE = gathering(SHARDS)
+
+
+class GatheringInstance:
+    """The side that gathers."""
+
+    def __init__(self, version: int = 1) -> None:
+        self.world = World(ROOMY)
+        for number in range(SHARDS):
+            self.world.add(f"s{number}", "a")
+        beliefs = Beliefs(self.world.fleet)
+        beliefs.routes = RouteTable(Configuration(version, (ROUTE,)))
+        self.dispatcher = RelayDispatcher(beliefs, self.world.engine, NAMES, Metrics())
+        self.front = CallerFront(self.dispatcher)
+        self.server = HTTPServer(self.front)
+        sock, self.port = bind_unused_port()
+        self.server.add_sockets([sock])
+
+    @property
+    def arrivals(self) -> int:
+        return sum(len(upstream.arrivals) for upstream in self.world.fleet.by_name.values())
+
+    def offer(self, name: str = "g") -> Gatherer:
+        return Gatherer(name, "a", f"127.0.0.1:{self.port}", 1.0)
+
+    async def close(self) -> None:
+        self.server.stop()
+        await self.front.tasks.close()
+        await self.world.engine.close()
+        await self.server.close_all_connections()
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.near = GatheringInstance()
+        self.far = GatheringInstance()
+        self.own = World(ROOMY, "d")
+        for number in range(SHARDS):
+            self.own.add(f"s{number}", "b")
+        beliefs = Beliefs(self.own.fleet)
+        beliefs.routes = RouteTable(Configuration(1, (ROUTE,)))
+        self.relays = Relays(self.own.engine)
+        self.relays.set_preferred([[self.near.offer("near")], [self.far.offer("far")]])
+        metrics = Metrics()
+        self.dispatcher = Dispatcher(beliefs, self.own.engine, NAMES, metrics, self.relays)
+
+    async def asyncTearDown(self) -> None:
+        self.relays.close()
+        await self.own.engine.close()
+        await self.near.close()
+        await self.far.close()
+
+    async def search(self, left: int = 1000) -> object:
+        headers = HTTPHeaders(
+            {"Host": "h", NAMES.request_id: "r1", NAMES.time_left: str(left), "X-Own": "kept"}
+        )
+        return await self.dispatcher.dispatch("GET", "/x/1", headers, b"")
+
+    @property
+    def own_arrivals(self) -> int:
+        return sum(len(upstream.arrivals) for upstream in self.own.fleet.by_name.values())
+
+    async def test_answer_of_the_gathering_instance_is_passed_on(self) -> None:
+        outcome = await self.search()
+        self.assertIsInstance(outcome, Gathered)
+        self.assertEqual((len(outcome.signatures), outcome.missing), (SHARDS, 0))
+        self.assertEqual(len(outcome.body), SHARDS * 16)
+        self.assertEqual((self.near.arrivals, self.far.arrivals, self.own_arrivals), (4, 0, 0))
+        passed = next(iter(self.near.world.fleet.by_name.values())).passed_on[0]
+        self.assertEqual((passed["X-Own"], passed[NAMES.request_id]), ("kept", "r1"))
+        self.assertNotIn("X-Configuration-Version", passed)
+        self.assertLess(int(passed[NAMES.time_left]), 1000)
+
+    async def test_connection_is_kept(self) -> None:
+        for _ in range(3):
+            await self.search()
+        self.assertEqual(sum(t.connections_opened for t in self.relays.targets.values()), 1)
+
+    async def test_instance_that_cannot_have_begun_is_passed_over(self) -> None:
+        cases = {
+            "not there": lambda: self.near.server.stop(),
+            "leaving": lambda: setattr(self.near.dispatcher, "leaving", True),
+            "another configuration": lambda: setattr(
+                self.near.dispatcher.beliefs, "routes", RouteTable(Configuration(2, (ROUTE,)))
+            ),
+        }
+        for name, break_it in cases.items():
+            with self.subTest(name):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                break_it()
+                self.assertIsInstance(await self.search(), Gathered)
+                self.assertEqual((self.near.arrivals, self.far.arrivals), (0, 4))
+
+    async def test_without_any_it_gathers_by_itself(self) -> None:
+        self.near.dispatcher.leaving = self.far.dispatcher.leaving = True
+        self.assertIsInstance(await self.search(), Gathered)
+        self.assertEqual(self.own_arrivals, SHARDS)
+
+    async def test_what_may_have_begun_is_not_begun_again(self) -> None:
+        for upstream in self.near.world.fleet.by_name.values():
+            upstream.script = lambda number: (5.0, None)
+        asked = asyncio.create_task(self.search())
+        while not self.near.arrivals:
+            await asyncio.sleep(0.01)
+        await self.near.server.close_all_connections()
+        outcome = await asyncio.wait_for(asked, 0.5)
+        self.assertEqual(type(outcome), Failed)
+        self.assertEqual((self.far.arrivals, self.own_arrivals), (0, 0))
+
+    async def test_silent_instance_is_not_waited_for_to_the_deadline(self) -> None:
+        for upstream in self.near.world.fleet.by_name.values():
+            upstream.script = lambda number: (5.0, None)
+        began = asyncio.get_running_loop().time()
+        outcome = await self.search(left=1000)
+        self.assertEqual(outcome, Failed(outcome.reason, True))
+        self.assertLess(asyncio.get_running_loop().time() - began, 0.95)
+
+    async def test_caller_that_leaves_ends_the_search_elsewhere(self) -> None:
+        for upstream in self.near.world.fleet.by_name.values():
+            upstream.script = lambda number: (5.0, None)
+        asked = asyncio.create_task(self.search())
+        while not self.near.arrivals:
+            await asyncio.sleep(0.01)
+        asked.cancel()
+        until = asyncio.get_running_loop().time() + 0.4
+        while self.near.front.open_requests and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.01)
+        self.assertEqual(self.near.front.open_requests, 0)
+
+    async def test_failure_of_the_gathering_instance_is_passed_on(self) -> None:
+        for upstream in self.near.world.fleet.by_name.values():
+            upstream.script = lambda number: (0.01, answered("x", status=500))
+        self.assertEqual(type(await self.search()), Failed)
+        self.assertEqual((self.far.arrivals, self.own_arrivals), (0, 0))
