Instances are told by their peers at their start; a revision counts as known only if its change was told

Found while looking: the greatest revision of any kind counted as seen, so a change of the configuration that its watch did not tell was hidden by a later change of the upstreams (test_change_of_one_kind_is_found_while_watches_of_others_go_on failed). Now: only seeds list at once, others wait up to 1.2 s to be told; every delivered revision is accounted for, a gap makes one instance list everything and tell up to where; large frames are compressed whole.

--- a/libs/forward/src/mimosahoist/forward/beliefs.py
+++ b/libs/forward/src/mimosahoist/forward/beliefs.py
@@ -32,6 +32,11 @@
         self.items: dict[WatchedKind, dict[str, WatchedItem]] = {kind: {} for kind in WatchedKind}
         self.listeners: list[Callable[[WatchedKind, WatchedItem], None]] = []
 
+    @property
+    def complete(self) -> bool:
+        """Whether enough is known to serve: a configuration and upstreams."""
+        return self.routes is not None and bool(self.fleet.by_name)
+
     def known(self, kind: WatchedKind) -> list[str]:
         """Names of a kind that are believed to exist."""
         return [name for name, item in self.items[kind].items() if item.value is not None]
--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -9,6 +9,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.problem import Problem
 from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.forward.accounted import AccountedRevisions
 from mimosahoist.platform.watched import HistoryLost, WatchedItem, WatchedKind
 
 if TYPE_CHECKING:
@@ -25,11 +26,18 @@
 FLEET_CHECK_SECONDS = 0.5
 ROLE_CHECK_SECONDS = 0.2
 WATCH_LAG_SECONDS = 0.15
+PEERS_FIRST_SECONDS = 0.8
+INFORMED_CHECK_SECONDS = 0.05
+TURN_CHECK_SECONDS = 0.1
 
 
 class FleetView(ABC):
     """What a follower needs to know of the other instances."""
 
+    @abstractmethod
+    def reads_first(self) -> bool:
+        """Whether this instance reads the store at its start without waiting to be told."""
+
     @abstractmethod
     def alive(self) -> int:
         """Instances that answer probes, this one included."""
@@ -40,13 +48,15 @@
 
 
 class StoreFollower:
-    """Lists each kind once, then watches it; lists again where history was lost.
+    """Watches each kind after a list, and lists again where history was lost.
 
     Entries that lapsed while the store was away may come back, so absence counts as removal
     only some time after its return. A watch may hear nothing for seconds while changes are made,
     so the instances take turns to ask for the store's revision, and list what the watches missed.
 
     Only some instances watch; the others hear of changes from them, and check in turn like all.
+    At their start most wait a moment to be told everything by others, so that the calls of a start
+    of the whole fleet do not grow with it.
 
     Attributes
     ----------
@@ -54,8 +64,10 @@
         How many instances take turns, and whether this one watches.
     outage_listeners : list of callable
         Called when the store is back after it did not answer.
-    highest_seen : int
-        Greatest store revision that any answer or peer has told.
+    accounted : AccountedRevisions
+        Revisions of the changes that any answer or peer has told.
+    settled_listeners : list of callable
+        Called with a revision up to which everything was listed here.
     """
 
     def __init__(
@@ -74,7 +86,9 @@
         self.rng = rng
         self.fleet_view = fleet_view
         self.outage_listeners: list[Callable[[], None]] = []
-        self.highest_seen = 0
+        self.settled_listeners: list[Callable[[int], None]] = []
+        self.accounted = AccountedRevisions()
+        beliefs.listeners.append(self.note_belief)
         self.tasks = TaskSet()
         self.away_since: dict[WatchedKind, float] = {}
         self.recheck_until = 0.0
@@ -95,8 +109,25 @@
         """Whether the store does not answer now."""
         return bool(self.away_since)
 
+    def note_belief(self, kind: WatchedKind, item: WatchedItem) -> None:
+        """Account for a change, whoever told it.
+
+        What was missing from a list bears the list's revision, which may be another change's.
+        """
+        if item.value is not None:
+            self.accounted.note(item.revision)
+
+    async def wait_to_be_told(self) -> None:
+        """Give the others a moment to tell what they know."""
+        until = now() + PEERS_FIRST_SECONDS * self.rng.uniform(1.0, 1.5)
+        while now() < until and not (self.fleet_view.reads_first() or self.beliefs.complete):
+            await asyncio.sleep(INFORMED_CHECK_SECONDS)
+
     async def follow(self, kind: WatchedKind) -> None:
         """Follow one kind for ever."""
+        await self.wait_to_be_told()
+        if not self.fleet_view.reads_first() and self.beliefs.complete:
+            await self.wait_for_role()
         pause = FIRST_RETRY_SECONDS
         while True:
             try:
@@ -104,8 +135,7 @@
                 pause = FIRST_RETRY_SECONDS
                 while self.fleet_view.watches():
                     revision = await self.read_changes(kind, revision)
-                while not self.fleet_view.watches():
-                    await asyncio.sleep(ROLE_CHECK_SECONDS)
+                await self.wait_for_role()
             except HistoryLost:
                 self.metrics.count("store_history_lost")
             except Problem as problem:
@@ -113,19 +143,16 @@
                 await asyncio.sleep(pause * self.rng.uniform(0.5, 1.5))
                 pause = min(LONGEST_RETRY_SECONDS, pause * 2)
 
-    async def read_all(self, kind: WatchedKind, seen: int | None = None) -> int:
-        """List a kind and take it as the whole truth; return the store's revision.
+    async def wait_for_role(self) -> None:
+        """Wait until this instance is one of those that watch."""
+        while not self.fleet_view.watches():
+            await asyncio.sleep(ROLE_CHECK_SECONDS)
 
-        Parameters
-        ----------
-        seen : int, optional
-            What to keep as the greatest revision seen, if the list is only a check.
-        """
+    async def read_all(self, kind: WatchedKind) -> int:
+        """List a kind and take it as the whole truth; return the store's revision."""
         self.metrics.count("store_lists")
         listing = await self.store.list(kind)
         self.note_back(kind)
-        if seen is None:
-            self.highest_seen = max(self.highest_seen, listing.revision)
         listed = {item.name for item in listing.items}
         gone = [
             WatchedItem(name, listing.revision, None)
@@ -140,15 +167,37 @@
         self.metrics.count("store_watches")
         changes = await self.store.watch(kind, revision, WATCH_SECONDS)
         self.note_back(kind)
-        self.highest_seen = max(self.highest_seen, changes.revision)
         self.take(kind, changes)
+        if changes.items:
+            self.account(changes)
         return max(revision, changes.revision)
 
+    def account(self, changes: WatchedItems) -> None:
+        """Account for what a watch told; a removal may bear the revision of the change before."""
+        before = self.accounted.base
+        for item in changes.items:
+            self.accounted.note(item.revision)
+        self.accounted.note(changes.revision)
+        if self.accounted.base > before and any(item.value is None for item in changes.items):
+            self.tell_settled()
+
+    def tell_settled(self) -> None:
+        """Tell listeners up to which revision everything is known here."""
+        for listener in self.settled_listeners:
+            listener(self.accounted.base)
+
+    async def wait_for_turn(self) -> None:
+        """Wait as long as all instances together need for one check each."""
+        began = now()
+        share = self.rng.uniform(0.6, 1.4) * FLEET_CHECK_SECONDS
+        while now() - began < share * self.fleet_view.alive():
+            await asyncio.sleep(TURN_CHECK_SECONDS)
+
     async def check_revision(self) -> None:
         """Ask now and then whether the store is ahead of what the watches told."""
+        await self.wait_to_be_told()
         while True:
-            turn = FLEET_CHECK_SECONDS * self.fleet_view.alive()
-            await asyncio.sleep(turn * self.rng.uniform(0.6, 1.4))
+            await self.wait_for_turn()
             try:
                 await self.catch_up()
             except Problem as problem:
@@ -157,18 +206,17 @@
 
     async def catch_up(self) -> None:
         """List everything if the store has a change that no watch delivers."""
-        seen = self.highest_seen
-        revision = await self.read_all(WatchedKind.DOMAINS_OUT, seen)
-        if revision <= seen:
+        revision = await self.read_all(WatchedKind.DOMAINS_OUT)
+        if self.accounted.covers(revision):
             return
         await asyncio.sleep(WATCH_LAG_SECONDS)
-        if revision <= self.highest_seen:
+        if self.accounted.covers(revision):
             return
         self.metrics.count("store_changes_missed")
-        json_log.change("watches are behind", revision=revision, seen=self.highest_seen)
-        for kind in WatchedKind:
-            await self.read_all(kind, revision)
-        self.highest_seen = max(self.highest_seen, revision)
+        json_log.change("watches are behind", revision=revision, known=self.accounted.base)
+        settled = [await self.read_all(kind) for kind in WatchedKind]
+        self.accounted.settle(min(settled))
+        self.tell_settled()
 
     def take(self, kind: WatchedKind, changes: WatchedItems) -> None:
         """Believe changes, but hold absence back while lapsed entries may return."""
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -84,6 +84,8 @@
         )
         self.follower.outage_listeners.append(self.peers.publish_outage)
         self.peers.outage_listeners.append(self.follower.hold_absence)
+        self.follower.settled_listeners.append(self.peers.publish_settled)
+        self.peers.settled_listeners.append(self.follower.accounted.settle)
         self.rollouts = Rollouts(store, self.beliefs, self.fleet, self.peers, metrics)
         self.engine.call_listeners.append(self.rollouts.record)
         self.dispatcher = Dispatcher(self.beliefs, self.engine, names, self.metrics, self.relays)
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -34,6 +34,10 @@
 BELIEF_PREFIX = "belief/"
 GATHERER_PREFIX = "gatherer/"
 OUTAGE_KEY = "outages"
+SETTLED_KEY = "settled"
+SMALL_BELIEF_BYTES = 1024
+# A byte that MessagePack never uses.
+COMPRESSED = b"\xc1"
 WATCHERS = 3
 PEER_SILENCE_SECONDS = 1.0
 VALUE_TYPES: dict[WatchedKind, Any] = {
@@ -82,10 +86,11 @@
         return max(list(held), list(received))
 
 
-class OutageFacts(FactKind):
-    """Number of returns of the store after an outage, as far as anybody counted."""
+class GreatestFacts(FactKind):
+    """A number of which the greatest counts."""
 
-    prefix = OUTAGE_KEY
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
 
     def valid(self, value: Any) -> bool:
         """Check the form of a record."""
@@ -103,6 +108,8 @@
     ----------
     outage_listeners : list of callable
         Called when another instance tells that the store is back after an outage.
+    settled_listeners : list of callable
+        Called with a store revision up to which another instance has listed everything.
     """
 
     def __init__(
@@ -137,7 +144,11 @@
         self.member_listeners: list[Callable[[], None]] = []
         self.outage_listeners: list[Callable[[], None]] = []
         self.board.register(BeliefFacts(), self.handle_belief)
-        self.board.register(OutageFacts(), self.handle_outage)
+        self.settled_listeners: list[Callable[[int], None]] = []
+        # Returns of the store after an outage, as far as anybody counted.
+        self.board.register(GreatestFacts(OUTAGE_KEY), self.handle_outage)
+        # Store revision up to which somebody has listed everything.
+        self.board.register(GreatestFacts(SETTLED_KEY), self.handle_settled)
         self.board.register(GathererFacts(), self.handle_offer)
         self.beliefs.listeners.append(self.publish_belief)
         self.exchange.member_listeners.append(self.handle_member)
@@ -190,6 +201,11 @@
         }
         return alive | {self.name}
 
+    def reads_first(self) -> bool:
+        """Whether others ask this instance first, or there is nobody to be told by."""
+        exchange = self.exchange
+        return not exchange.seeds or exchange.identity.peer_address in exchange.seeds
+
     def watches(self) -> bool:
         """Whether this instance is among the first in rendezvous order, or hears nobody.
 
@@ -214,6 +230,15 @@
         count = self.board.value(OUTAGE_KEY) or 0
         self.board.publish(OUTAGE_KEY, count + 1, urgent=True)
 
+    def publish_settled(self, revision: int) -> None:
+        """Tell the others up to which revision everything was listed."""
+        self.board.publish(SETTLED_KEY, revision, urgent=True)
+
+    def handle_settled(self, key: str, value: Any) -> None:
+        """Tell listeners up to which revision another instance has listed everything."""
+        for listener in self.settled_listeners:
+            listener(value)
+
     def handle_outage(self, key: str, value: Any) -> None:
         """Tell listeners that the store is back after an outage."""
         for listener in self.outage_listeners:
@@ -240,7 +265,7 @@
 
     def publish_belief(self, kind: WatchedKind, item: WatchedItem) -> None:
         """Tell the others what was learned from the store."""
-        value = [item.revision, zlib.compress(msgspec.msgpack.encode(item.value))]
+        value = [item.revision, pack(msgspec.msgpack.encode(item.value))]
         self.board.publish(f"{BELIEF_PREFIX}{kind}/{item.name}", value, urgent=True)
 
     def share_crashes(self, crashes: CrashWatch) -> None:
@@ -260,10 +285,21 @@
         kind_name, _, name = key[len(BELIEF_PREFIX) :].partition("/")
         try:
             kind = WatchedKind(kind_name)
-            encoded = zlib.decompress(value[1])
-            decoded = msgspec.msgpack.decode(encoded, type=VALUE_TYPES[kind] | None)
+            decoded = msgspec.msgpack.decode(unpack(value[1]), type=VALUE_TYPES[kind] | None)
         except (ValueError, zlib.error, msgspec.MsgspecError):
             self.metrics.count("peer_beliefs_unreadable")
             return
         if self.beliefs.take(kind, WatchedItem(name, value[0], decoded)):
             self.metrics.count("beliefs_from_peers")
+
+
+def pack(encoded: bytes) -> bytes:
+    """Compress a large value; small ones are compressed with the frame that carries them."""
+    return encoded if len(encoded) < SMALL_BELIEF_BYTES else COMPRESSED + zlib.compress(encoded)
+
+
+def unpack(packed: bytes) -> bytes:
+    """Undo `pack`."""
+    if packed.startswith(COMPRESSED):
+        return zlib.decompress(packed[len(COMPRESSED) :])
+    return packed
--- a/libs/forward/tests/fake_store.py
+++ b/libs/forward/tests/fake_store.py
@@ -24,6 +24,7 @@
         self.revision = 1
         self.oldest = 0
         self.deaf = False
+        self.deaf_kinds: set[WatchedKind] = set()
         self.away = False
         self.calls = 0
         self.lose_answers = False
@@ -52,7 +53,7 @@
         until = now() + wait
         while now() < until:
             newer = [item for item in self.items[kind].values() if item.revision > after]
-            if newer and not self.deaf:
+            if newer and not self.deaf and kind not in self.deaf_kinds:
                 return WatchedItems(newer, max(item.revision for item in newer))
             try:
                 await asyncio.wait_for(self.changed.wait(), until - now())
@@ -60,7 +61,8 @@
                 break
             if self.away:
                 await self.enter()
-        return WatchedItems([], self.revision if not self.deaf else after)
+        deaf = self.deaf or kind in self.deaf_kinds
+        return WatchedItems([], after if deaf else self.revision)
 
     async def enter(self) -> None:
         self.calls += 1
--- /dev/null
+++ b/libs/forward/tests/test_accounted.py
@@ -0,0 +1,44 @@
+"""Which revisions count as known."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from mimosahoist.forward.accounted import MOST_KEPT, AccountedRevisions
+
+
+class AccountedRevisionsTest(unittest.TestCase):
+    def test_gap_keeps_later_revisions_from_counting(self) -> None:
+        known = AccountedRevisions()
+        known.settle(10)
+        for revision in (12, 13):
+            known.note(revision)
+        self.assertTrue(known.covers(10))
+        self.assertFalse(known.covers(13))
+        known.note(11)
+        self.assertTrue(known.covers(13))
+
+    def test_any_order_gives_the_same(self) -> None:
+        for seed in range(20):
+            rng = random.Random(seed)
+            revisions = list(range(1, 60))
+            rng.shuffle(revisions)
+            known = AccountedRevisions()
+            for revision in revisions:
+                known.note(revision)
+            self.assertEqual((known.base, known.above), (59, set()))
+
+    def test_settling_goes_over_gaps_and_never_back(self) -> None:
+        known = AccountedRevisions()
+        known.note(7)
+        known.settle(6)
+        self.assertEqual(known.base, 7)
+        known.settle(3)
+        self.assertEqual(known.base, 7)
+
+    def test_memory_is_bounded(self) -> None:
+        known = AccountedRevisions()
+        for revision in range(2, 3 * MOST_KEPT):
+            known.note(revision)
+        self.assertLessEqual(len(known.above), MOST_KEPT)
--- a/libs/forward/tests/test_follower.py
+++ b/libs/forward/tests/test_follower.py
@@ -24,6 +24,10 @@
     def __init__(self) -> None:
         self.count = 1
         self.watching = True
+        self.first = True
+
+    def reads_first(self) -> bool:
+        return self.first
 
     def alive(self) -> int:
         return self.count
@@ -41,11 +45,13 @@
 
 
 class FollowerTest(PausedTestCase):
-    async def start(self) -> None:
+    async def start(self, first: bool = True, watching: bool = True) -> None:
         self.store = StoreModel()
         self.fleet = UpstreamFleet(SharedBounds(), NAMES)
         self.beliefs = Beliefs(self.fleet)
         self.view = View()
+        self.view.first = first
+        self.view.watching = watching
         self.follower = StoreFollower(
             self.store, self.beliefs, 2.0, Metrics(), random.Random(1), self.view
         )
@@ -145,6 +151,32 @@
         self.assertEqual(self.fleet.domains_out, frozenset())
         await self.follower.close()
 
+    async def test_change_of_one_kind_is_found_while_watches_of_others_go_on(self) -> None:
+        await self.start()
+        self.store.deaf_kinds = {WatchedKind.CONFIGURATION}
+        self.store.put(WatchedKind.CONFIGURATION, "main", configuration(5))
+        self.store.put(WatchedKind.UPSTREAMS, "u2", record("u2"))
+        await asyncio.sleep(2.0)
+        self.assertIn("u2", self.fleet.by_name)
+        self.assertEqual(self.version, 5)
+        await self.follower.close()
+
+    async def test_instance_that_is_told_at_its_start_does_not_list(self) -> None:
+        await self.start(first=False, watching=False)
+        self.view.count = 76
+        self.beliefs.take(WatchedKind.CONFIGURATION, WatchedItem("main", 2, configuration(3)))
+        self.beliefs.take(WatchedKind.UPSTREAMS, WatchedItem("u1", 3, record("u1")))
+        await asyncio.sleep(5.0)
+        self.assertEqual(self.store.calls, 0)
+        await self.follower.close()
+
+    async def test_instance_that_nobody_tells_lists_by_itself(self) -> None:
+        await self.start(first=False)
+        self.assertEqual(self.store.calls, 0)
+        await asyncio.sleep(2.0)
+        self.assertEqual(self.version, 3)
+        await self.follower.close()
+
     async def test_instance_that_does_not_watch_makes_few_calls(self) -> None:
         await self.start()
         self.view.watching = False
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -13,8 +13,8 @@
     PROTOCOL,
     Frame,
     FrameKind,
-    frame_decoder,
-    frame_encoder,
+    pack_frame,
+    unpack_frame,
 )
 from mimosahoist.peers.members import (
     MEMBER_PREFIX,
@@ -255,12 +255,12 @@
             changes_after(self.objects, start.objects),
             changes_after(self.instances, start.instances),
         )
-        self.transport.send(address, frame_encoder.encode(frame))
+        self.transport.send(address, pack_frame(frame))
 
     def handle_frame(self, data: bytes) -> None:
         """Take a frame in; reject and count what is not understood."""
         try:
-            frame = frame_decoder.decode(data)
+            frame = unpack_frame(data)
         except (msgspec.DecodeError, RecursionError):
             self.metrics.count("peer_frames_malformed")
             return
--- a/libs/peers/src/mimosahoist/peers/frames.py
+++ b/libs/peers/src/mimosahoist/peers/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import zlib
 from typing import NamedTuple
 
 import msgspec
@@ -10,7 +11,12 @@
 from mimosahoist.peers.facts import Fact
 from mimosahoist.platform.store import Changes
 
-PROTOCOL = 1
+PROTOCOL = 2
+SMALL_FRAME_BYTES = 512
+FAST_COMPRESSION = 1
+# First byte of a zlib stream; a frame in MessagePack begins with the mark of an array.
+ZLIB_START = b"\x78"
+MAX_UNPACKED_BYTES = 64 << 20
 
 
 class FrameKind(enum.IntEnum):
@@ -70,5 +76,30 @@
     instances: Changes | None
 
 
+def pack_frame(frame: Frame) -> bytes:
+    """Encode a frame, compressed if it is large: facts of one kind are much alike."""
+    data = frame_encoder.encode(frame)
+    return data if len(data) < SMALL_FRAME_BYTES else zlib.compress(data, FAST_COMPRESSION)
+
+
+def unpack_frame(data: bytes) -> Frame:
+    """Decode a frame.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If it is none, or larger than any frame may be.
+    """
+    if data.startswith(ZLIB_START):
+        unpacker = zlib.decompressobj()
+        try:
+            data = unpacker.decompress(data, MAX_UNPACKED_BYTES)
+        except zlib.error as error:
+            raise msgspec.DecodeError(str(error)) from error
+        if not unpacker.eof:
+            raise msgspec.DecodeError("the frame is truncated or too large")
+    return frame_decoder.decode(data)
+
+
 frame_decoder = msgspec.msgpack.Decoder(Frame)
 frame_encoder = msgspec.msgpack.Encoder()
