--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -38,6 +38,7 @@
     from mimosahoist.platform.store import Changes
     from mimosahoist.platform.versioned import VersionedCopy
 
+PUSH_INTERVAL = 0.05
 URGENT_FANOUT = 3
 PRUNE_ROUNDS = 10
 
@@ -88,7 +89,8 @@
         self.cached_at = -1
         self.last_contact = 0.0
         self.heard_at: dict[str, float] = {}
-        self.push_scheduled = False
+        self.push_timer: asyncio.TimerHandle | None = None
+        self.pushed_at = 0.0
         self.pushed = Position(0, 0, 0)
         self.member_listeners: list[Callable[[str, Member], None]] = []
         board.register(MemberFacts(), self.handle_member)
@@ -113,6 +115,8 @@
 
     async def close(self) -> None:
         """Stop taking part."""
+        if self.push_timer is not None:
+            self.push_timer.cancel()
         await self.tasks.close()
         await self.transport.close()
 
@@ -212,14 +216,19 @@
             self.push_soon()
 
     def push_soon(self) -> None:
-        """Push once after the present callback, however many changes it makes."""
-        if not self.push_scheduled:
-            self.push_scheduled = True
-            asyncio.get_running_loop().call_soon(self.push)
+        """Push once after the present callback, however many changes it makes.
+
+        The first push goes at once; while changes keep coming, as at the start of a fleet, they
+        are gathered for a moment, or each would be a frame to several peers at every instance.
+        """
+        if self.push_timer is None:
+            at = max(now(), self.pushed_at + PUSH_INTERVAL)
+            self.push_timer = asyncio.get_running_loop().call_at(at, self.push)
 
     def push(self) -> None:
         """Push what changed since the last push to a few random peers; probes carry the rest."""
-        self.push_scheduled = False
+        self.push_timer = None
+        self.pushed_at = now()
         addresses = self.peer_addresses()
         chosen = self.rng.sample(sorted(addresses), min(URGENT_FANOUT, len(addresses)))
         for name in chosen:
--- a/libs/peers/tests/test_exchange.py
+++ b/libs/peers/tests/test_exchange.py
@@ -55,6 +55,19 @@
         await self.until(lambda: all(len(node.states()) == count for node in nodes), 10)
         return network, nodes
 
+    async def test_start_of_a_fleet_one_after_the_other_takes_few_frames(self) -> None:
+        network = MemoryNetwork(random.Random(5))
+        nodes = []
+        for number in range(76):
+            nodes.append(Node(network, number, ["n0:p", "n1:p"]))
+            await nodes[-1].exchange.start()
+            await asyncio.sleep(0.013)
+        await self.until(lambda: all(len(node.states()) == 76 for node in nodes), 10)
+        frames = sum(node.transport.frames_sent for node in nodes)
+        self.assertLess(frames, 76 * 60)
+        for node in nodes:
+            await node.exchange.close()
+
     async def until(self, condition: Any, seconds: float) -> float:
         started = now()
         while not condition():
