Repeatable plain requests are served by the largest instances of their domain

Now: as for searches, but never to another domain, and not for services whose requests may run once only. Also: a relayed request carries the version that found its route with it; it lay at the target before, where another request could change it while a connection was opened.

--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -86,12 +86,14 @@
 
     async def carry(self, request: CallerRequest) -> RequestOutcome:
         """Have a request gathered, here or elsewhere, or run by one upstream."""
-        if not request.route.shards:
-            return await PlainForward(self.engine, request).run()
         outcome = None
-        if self.relays is not None:
-            outcome = await self.relays.relay(request, self.beliefs.routes.configuration.version)
-        return outcome or await Gather(self.engine, request).run()
+        if self.relays is not None and request.route.repeatable:
+            outcome = await self.relays.relay(request)
+        if outcome is not None:
+            return outcome
+        if request.route.shards:
+            return await Gather(self.engine, request).run()
+        return await PlainForward(self.engine, request).run()
 
     def make_request(
         self, route: Route, method: str, target: str, headers: HTTPHeaders, body: bytes
@@ -114,6 +116,7 @@
             waits_until,
             min(arrived + route.timeout, waits_until - ANSWER_SECONDS),
             arrived + route.target_latency - waited - CALLER_TRIP_SECONDS,
+            self.beliefs.routes.configuration.version,
         )
 
     def note_outcome(
--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -8,7 +8,7 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import ServiceLimits
 from mimosahoist.forward.repeat_budget import RepeatBudget
-from mimosahoist.forward.shares import Shares
+from mimosahoist.forward.shares import FleetShares, Shares
 from mimosahoist.forward.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -24,6 +24,8 @@
     ----------
     domains_out : frozenset of str
         Failure domains that operators have taken out.
+    shards, relayed : frozenset of str
+        Services that gathering routes name; those of which all requests may be relayed.
     splits : dict
         Division of calls between versions, for services with a rollout.
     """
@@ -37,13 +39,20 @@
         self.budgets: dict[str, RepeatBudget] = {}
         self.domains_out: frozenset[str] = frozenset()
         self.splits: dict[str, VersionSplit] = {}
-        self.shares = Shares()
+        self.shares = FleetShares(Shares(), Shares())
         self.shards: frozenset[str] = frozenset()
+        self.relayed: frozenset[str] = frozenset()
 
     def configure(self, configuration: Configuration) -> None:
         """Take the limits of a configuration."""
         self.limits = configuration.services
-        self.shards = frozenset(shard for route in configuration.routes for shard in route.shards)
+        routes = configuration.routes
+        self.shards = frozenset(shard for route in routes for shard in route.shards)
+        self.relayed = frozenset(
+            target.service for route in routes if route.repeatable for target in route.targets
+        ) - frozenset(
+            target.service for route in routes if not route.repeatable for target in route.targets
+        )
         for upstream in self.by_name.values():
             upstream.limits = self.limits_of(upstream.record.service)
         self.divide()
@@ -60,11 +69,13 @@
         for budget in self.budgets.values():
             budget.bounds = bounds
 
-    def set_shares(self, shares: Shares) -> None:
+    def set_shares(self, shares: FleetShares) -> None:
         """Divide shared limits among other instances."""
         if shares == self.shares:
             return
-        json_log.change("limits shared", **shares._asdict())
+        json_log.change(
+            "limits shared", shards=shares.shards._asdict(), plain=shares.plain._asdict()
+        )
         self.shares = shares
         self.divide()
 
@@ -77,7 +88,11 @@
 
     def divisor(self, service: str) -> float:
         """What the limits of a service are divided by here."""
-        return self.shares.divisor(service in self.shards)
+        if service in self.shards:
+            return self.shares.shards.divisor
+        if service in self.relayed:
+            return self.shares.plain.divisor
+        return Shares(self.shares.plain.instances).divisor
 
     def budget(self, service: str) -> RepeatBudget:
         """Budget of extra sends to a service."""
--- a/libs/forward/src/mimosahoist/forward/gathering.py
+++ b/libs/forward/src/mimosahoist/forward/gathering.py
@@ -13,9 +13,11 @@
     gathering_domains,
     pick_gatherers,
 )
-from mimosahoist.forward.shares import Shares
+from mimosahoist.forward.shares import FleetShares, Shares
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from mimosahoist.forward.fleet import UpstreamFleet
     from mimosahoist.forward.instance_settings import InstanceSettings
     from mimosahoist.forward.peers import Peers
@@ -28,7 +30,10 @@
 
 
 class Gathering:
-    """Decides who gathers for this instance, and which part of the shared limits it may use.
+    """Decides who serves for this instance, and which part of the shared limits it may use.
+
+    Searches go to a domain that holds the shards; repeatable plain requests stay in their domain,
+    where few instances know its upstreams better than many and share fewer parts of the budget.
 
     Instances beyond a cut may still be at work, so limits are divided by all that have not said
     that they left, while searches go only to those that answer probes.
@@ -72,20 +77,31 @@
     def review(self) -> None:
         """Work out the roles anew."""
         possible = self.peers.possibly_alive() | {self.settings.name}
-        coverage = self.coverage()
-        domains = gathering_domains(coverage)
-        live = self.pick(self.peers.alive_names(), domains)
-        sharing = {
+        domains = gathering_domains(self.coverage())
+        live = self.pick(self.peers.alive_names(), len(domains))
+        maybe = self.pick(possible, len(domains))
+        instances = max(self.settings.instances_expected, len(possible))
+        shards = self.shares(instances, [*live.items(), *maybe.items()], domains)
+        plain = self.shares(instances, [*live.items(), *maybe.items()], live.keys() | maybe.keys())
+        self.fleet.set_shares(FleetShares(shards, plain))
+        own_domain = self.settings.failure_domain
+        order = domain_order(self.settings.name, own_domain, live.keys() & domains)
+        self.relays.set_preferred(
+            [] if shards.gathers else [live[domain] for domain in order],
+            [] if plain.gathers else [live.get(own_domain, [])],
+        )
+
+    def shares(
+        self, instances: int, picked: list[tuple[str, list[Gatherer]]], domains: Set[str]
+    ) -> Shares:
+        """Shares of a limit, by who may serve for others in some domains."""
+        names = {
             gatherer.name
-            for found in (live, self.pick(possible, domains))
-            for gatherers in found.values()
+            for domain, gatherers in picked
+            if domain in domains
             for gatherer in gatherers
         }
-        gathers = self.settings.name in sharing
-        order = domain_order(self.settings.name, self.settings.failure_domain, live)
-        self.relays.set_preferred([] if gathers else [live[domain] for domain in order])
-        instances = max(self.settings.instances_expected, len(possible))
-        self.fleet.set_shares(Shares(instances, len(sharing), gathers))
+        return Shares(instances, len(names), self.settings.name in names)
 
     def coverage(self) -> dict[str, float]:
         """Share of the shards of which each failure domain in use has an upstream."""
@@ -104,10 +120,9 @@
             if domain not in self.fleet.domains_out
         }
 
-    def pick(self, names: set[str], domains: set[str]) -> dict[str, list[Gatherer]]:
-        """Gathering instances among some, in the domains that can gather."""
-        picked = pick_gatherers(self.peers.offers(names), self.most(len(domains)))
-        return {domain: found for domain, found in picked.items() if domain in domains}
+    def pick(self, names: set[str], domains: int) -> dict[str, list[Gatherer]]:
+        """Instances that serve for others, among some, by failure domain."""
+        return pick_gatherers(self.peers.offers(names), self.most(domains))
 
     def most(self, domains: int) -> int:
         """Gathering instances in a domain, so that each may hold some connections."""
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -22,7 +22,7 @@
 from mimosahoist.forward.relay import Relays
 from mimosahoist.forward.relay_server import RelayDispatcher
 from mimosahoist.forward.rollouts import Rollouts
-from mimosahoist.forward.shares import Shares
+from mimosahoist.forward.shares import FleetShares, Shares
 from mimosahoist.platform.watched import WatchedKind
 
 if TYPE_CHECKING:
@@ -64,7 +64,8 @@
         self.rng = rng
         self.tasks = TaskSet()
         self.fleet = UpstreamFleet(bounds, names)
-        self.fleet.set_shares(Shares(settings.instances_expected))
+        alone = Shares(settings.instances_expected)
+        self.fleet.set_shares(FleetShares(alone, alone))
         self.beliefs = Beliefs(self.fleet)
         self.beliefs.listeners.append(self.handle_belief)
         self.engine = ForwardEngine(
--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -1,4 +1,4 @@
-"""Searches that another instance gathers.
+"""Requests that another instance serves.
 
 The request passes over HTTP/1.1 like a call to an upstream, not over the peers' ZeroMQ sockets:
 a refused or closed connection tells at once that nothing was sent, and closing it cancels the work.
@@ -16,16 +16,19 @@
     Answered,
     CallOutcome,
     Failed,
+    Forwarded,
     Gathered,
     LossKind,
     Lost,
     Refused,
+    RequestOutcome,
 )
 from mimosahoist.forward.upstream import Upstream
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
 
+    from mimosahoist.forward.declarations import Route
     from mimosahoist.forward.engine import ForwardEngine
     from mimosahoist.forward.gatherers import Gatherer
     from mimosahoist.forward.request import CallerRequest
@@ -39,7 +42,7 @@
 
 
 class RelayTarget(Upstream):
-    """An instance that gathers for this one."""
+    """An instance that serves for this one."""
 
     def __init__(self, gatherer: Gatherer, engine: ForwardEngine) -> None:
         record = UpstreamRecord(
@@ -47,17 +50,16 @@
         )
         limits = ServiceLimits("", connections=TARGET_CONNECTIONS)
         super().__init__(record, limits, engine.fleet.bounds, engine.names)
-        self.version = 0
 
     def headers_for(self, request: CallerRequest) -> HTTPHeaders:
         """Headers of a relayed request: the caller's, the time left and the configuration."""
         headers = super().headers_for(request)
-        headers[VERSION_HEADER] = str(self.version)
+        headers[VERSION_HEADER] = str(request.version)
         return headers
 
     def judge(self, outcome: Answered | Lost, request: CallerRequest) -> CallOutcome:
         """Tell a gathered answer and a failure from a refusal."""
-        if not isinstance(outcome, Answered):
+        if not isinstance(outcome, Answered) or self.names.signature in outcome.headers:
             return outcome
         if outcome.status in NOT_RUN_STATUSES:
             return Refused(outcome.status)
@@ -67,36 +69,41 @@
 
 
 class Relays:
-    """Passes searches on to instances that gather.
+    """Passes searches and repeatable plain requests on to instances that serve for others.
 
     Attributes
     ----------
-    preferred : list of list of Gatherer
-        Gathering instances by failure domain, the preferred one first; empty if this instance
-        gathers by itself.
+    for_searches, for_plain : list of list of Gatherer
+        Instances that serve searches and plain requests, by failure domain, the preferred one
+        first; empty if this instance serves by itself.
     """
 
     def __init__(self, engine: ForwardEngine) -> None:
         self.engine = engine
-        self.preferred: list[list[Gatherer]] = []
+        self.for_searches: list[list[Gatherer]] = []
+        self.for_plain: list[list[Gatherer]] = []
         self.targets: dict[Gatherer, RelayTarget] = {}
 
-    def set_preferred(self, preferred: list[list[Gatherer]]) -> None:
-        """Take another set of gathering instances; calls in flight go on to their end."""
-        if preferred == self.preferred:
+    def set_preferred(
+        self, for_searches: list[list[Gatherer]], for_plain: list[list[Gatherer]]
+    ) -> None:
+        """Take other sets of serving instances; calls in flight go on to their end."""
+        if (for_searches, for_plain) == (self.for_searches, self.for_plain):
             return
-        self.preferred = preferred
-        names = [[gatherer.name for gatherer in domain] for domain in preferred]
-        json_log.change("searches gathered by", instances=names)
-        wanted = {gatherer for domain in preferred for gatherer in domain}
+        self.for_searches = for_searches
+        self.for_plain = for_plain
+        json_log.change(
+            "requests relayed to", searches=names_of(for_searches), plain=names_of(for_plain)
+        )
+        wanted = {gatherer for domain in for_searches + for_plain for gatherer in domain}
         for gatherer in self.targets.keys() - wanted:
             self.targets.pop(gatherer).close()
 
-    def usable(self) -> list[RelayTarget]:
+    def usable(self, route: Route) -> list[RelayTarget]:
         """Instances to try, in order; those of one domain in random order."""
         found: list[RelayTarget] = []
         at = now()
-        for domain in self.preferred:
+        for domain in self.for_searches if route.shards else self.for_plain:
             targets = [self.target(gatherer) for gatherer in domain]
             reached = [
                 target
@@ -116,22 +123,16 @@
             self.targets[gatherer] = found
         return found
 
-    async def relay(self, request: CallerRequest, version: int) -> Gathered | Failed | None:
-        """Have a search gathered elsewhere; None if nobody has begun it.
+    async def relay(self, request: CallerRequest) -> RequestOutcome | None:
+        """Have a request served elsewhere; None if nobody has begun it.
 
         What may have begun is not begun again here, or shards would get more than the route's
         attempts. A silent instance is not waited for to the deadline, so that the caller has time
         to come again.
-
-        Parameters
-        ----------
-        version : int
-            Version of the configuration that found the route.
         """
         until = request.aim + LATE_SHARE * max(0.0, request.deadline - request.aim)
         until = min(request.deadline, max(until, now()))
-        for target in self.usable():
-            target.version = version
+        for target in self.usable(request.route):
             outcome = await target.call(request, until)
             self.learn(target, outcome)
             if isinstance(outcome, Answered):
@@ -149,8 +150,10 @@
         else:
             self.engine.reach.note_failure(target.record.failure_domain, now())
 
-    def decode(self, answer: Answered) -> Gathered | Failed:
+    def decode(self, answer: Answered) -> RequestOutcome:
         """Outcome that another instance's answer tells."""
+        if self.engine.names.signature in answer.headers:
+            return Forwarded(answer)
         if not answer.good:
             reason = answer.body.decode(errors="replace")
             return Failed(reason, answer.status == STATUS_TIMEOUT)
@@ -167,3 +170,8 @@
         """Close all connections."""
         for target in self.targets.values():
             target.close()
+
+
+def names_of(domains: list[list[Gatherer]]) -> list[list[str]]:
+    """Names of instances, for the log."""
+    return [[gatherer.name for gatherer in domain] for domain in domains]
--- a/libs/forward/src/mimosahoist/forward/request.py
+++ b/libs/forward/src/mimosahoist/forward/request.py
@@ -27,6 +27,8 @@
         When an answer must be given: the earlier of `waits_until` and the route's timeout.
     aim : float
         When an answer stops being worth its full credit.
+    version : int
+        Version of the configuration that found the route.
     """
 
     id: str
@@ -39,6 +41,7 @@
     waits_until: float
     deadline: float
     aim: float
+    version: int = 0
 
     @property
     def fingerprint(self) -> str:
--- a/libs/forward/src/mimosahoist/forward/shares.py
+++ b/libs/forward/src/mimosahoist/forward/shares.py
@@ -10,13 +10,13 @@
 class Shares(NamedTuple):
     """How many instances share the limits of upstreams.
 
-    Those that gather for others get most of what the shards' upstreams bear; the rest is for
-    instances that reach no gathering one.
+    Those that serve for others get most of what upstreams bear; the rest is for instances that
+    reach none of those.
 
     Attributes
     ----------
     gatherers : int
-        Instances that may gather for others.
+        Instances that may serve for others.
     gathers : bool
         Whether this instance is one of them.
     """
@@ -25,17 +25,19 @@
     gatherers: int = 0
     gathers: bool = False
 
-    def divisor(self, is_shard: bool) -> float:
-        """What a limit is divided by for this instance's part.
-
-        Parameters
-        ----------
-        is_shard : bool
-            Whether the limit is that of a shard's upstreams.
-        """
+    @property
+    def divisor(self) -> float:
+        """What a limit is divided by for this instance's part."""
         others = self.instances - self.gatherers
-        if not is_shard or not self.gatherers or others <= 0:
+        if not self.gatherers or others <= 0:
             return max(1, self.instances)
         if self.gathers:
             return self.gatherers / GATHERED_SHARE
         return others / (1.0 - GATHERED_SHARE)
+
+
+class FleetShares(NamedTuple):
+    """Shares of limits of shards' upstreams, and of those that serve repeatable plain requests."""
+
+    shards: Shares
+    plain: Shares
