--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -10,7 +10,7 @@
 from mimosahoist.forward.declarations import CallerLimits
 from mimosahoist.forward.gather import Gather
 from mimosahoist.forward.headers import end_to_end
-from mimosahoist.forward.outcomes import Forwarded, Gathered, NotRun, RequestOutcome
+from mimosahoist.forward.outcomes import Forwarded, Gathered, NotRun, Parts, RequestOutcome
 from mimosahoist.forward.plain import PlainForward
 from mimosahoist.forward.request import CallerRequest
 
@@ -20,6 +20,7 @@
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.beliefs import Beliefs
     from mimosahoist.forward.declarations import Route
+    from mimosahoist.forward.delegation import Delegation
     from mimosahoist.forward.engine import ForwardEngine
     from mimosahoist.forward.headers import HeaderNames
     from mimosahoist.forward.relay import Relays
@@ -39,7 +40,9 @@
     hop : str
         What a request is here, in logs and counters.
     relays : Relays or None
-        Other instances that may gather for this one.
+        Other instances that may serve for this one.
+    delegation : Delegation or None
+        Other instances that may make first calls of searches gathered here.
     """
 
     hop = "request"
@@ -51,9 +54,11 @@
         names: HeaderNames,
         metrics: Metrics,
         relays: Relays | None = None,
+        delegation: Delegation | None = None,
     ) -> None:
         self.beliefs = beliefs
         self.relays = relays
+        self.delegation = delegation
         self.engine = engine
         self.names = names
         self.metrics = metrics
@@ -84,7 +89,7 @@
             return CRASHES_UPSTREAMS
         return await self.carry(request)
 
-    async def carry(self, request: CallerRequest) -> RequestOutcome:
+    async def carry(self, request: CallerRequest) -> RequestOutcome | Refusal:
         """Have a request gathered, here or elsewhere, or run by one upstream."""
         outcome = None
         if self.relays is not None and request.route.repeatable:
@@ -92,7 +97,7 @@
         if outcome is not None:
             return outcome
         if request.route.shards:
-            return await Gather(self.engine, request).run()
+            return await Gather(self.engine, request, self.delegation).run()
         return await PlainForward(self.engine, request).run()
 
     def make_request(
@@ -127,7 +132,11 @@
         self.metrics.count(f"{self.hop}s_{name}")
         self.metrics.latency(f"{self.hop}_{name}").record(elapsed)
         whole = isinstance(outcome, Gathered) and not outcome.missing
-        if whole or (isinstance(outcome, Forwarded) and outcome.answer.good):
+        if (
+            whole
+            or isinstance(outcome, Parts)
+            or (isinstance(outcome, Forwarded) and outcome.answer.good)
+        ):
             return
         json_log.change(
             f"{self.hop} ended",
@@ -138,3 +147,12 @@
             milliseconds=round(elapsed * 1000, 1),
             version=self.beliefs.routes.configuration.version if self.beliefs.routes else 0,
         )
+
+
+def is_plain_success(outcome: RequestOutcome | Refusal) -> bool:
+    """Whether nothing of an outcome calls for a line in the log."""
+    if isinstance(outcome, Gathered):
+        return not outcome.missing
+    if isinstance(outcome, Forwarded):
+        return outcome.answer.good
+    return isinstance(outcome, Parts)
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -18,6 +18,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.admission import Refusal
+from mimosahoist.forward.delegation import FAILED_HEADER, PENDING_HEADER, encode_shards
 from mimosahoist.forward.headers import end_to_end
 from mimosahoist.forward.outcomes import (
     Abandoned,
@@ -25,6 +26,7 @@
     Forwarded,
     Gathered,
     NotRun,
+    Parts,
     RequestOutcome,
 )
 
@@ -213,6 +215,11 @@
             headers[names.part_signatures] = ", ".join(outcome.signatures)
             headers[names.missing_parts] = str(outcome.missing)
             self.write(STATUS_OK, headers, outcome.body)
+        elif isinstance(outcome, Parts):
+            headers[names.part_signatures] = ", ".join(outcome.signatures)
+            headers[PENDING_HEADER] = encode_shards(outcome.pending)
+            headers[FAILED_HEADER] = encode_shards(outcome.failed)
+            self.write(STATUS_OK, headers, outcome.body)
         elif isinstance(outcome, NotRun):
             headers["Retry-After"] = f"{outcome.retry_after:.3f}"
             self.write(STATUS_UNAVAILABLE, headers, outcome.reason.encode())
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.completion import Progress, Verdict, decide, needed_parts
+from mimosahoist.forward.delegation import FAILED_HEADER, PENDING_HEADER, decode_shards
 from mimosahoist.forward.engine import Outlook, certainly_not_run
 from mimosahoist.forward.outcomes import (
     Answered,
@@ -21,23 +22,36 @@
 )
 
 if TYPE_CHECKING:
+    from mimosahoist.forward.delegation import Delegate, Delegation
     from mimosahoist.forward.engine import ForwardEngine
     from mimosahoist.forward.request import CallerRequest
     from mimosahoist.forward.upstream import Upstream
 
 RETURN_SECONDS = 0.008
+DELEGATE_TRIP_SECONDS = 0.02
 LOSER_SECONDS = 0.4
+UNWATCHED_SECONDS = 0.1
 DESCRIBED_SHARDS = 3
 ROOM_RETRY_SECONDS = 0.02
 RETRY_AFTER_SECONDS = (0.05, 0.25)
 
 
+class Part(NamedTuple):
+    """What a shard gives to the answer.
+
+    Of shards that were asked for together the first one holds all records and signatures.
+    """
+
+    body: bytes
+    signatures: list[str]
+
+
 class ShardSearch:
     """One shard of a search: its calls and, in the end, its part."""
 
     def __init__(self, service: str) -> None:
         self.service = service
-        self.part: Answered | None = None
+        self.part: Part | None = None
         self.calls: dict[asyncio.Task[None], Upstream] = {}
         self.tried: set[str] = set()
         self.runs = 0
@@ -52,8 +66,11 @@
     a failed one is replaced at once.
     """
 
-    def __init__(self, engine: ForwardEngine, request: CallerRequest) -> None:
+    def __init__(
+        self, engine: ForwardEngine, request: CallerRequest, delegation: Delegation | None = None
+    ) -> None:
         self.engine = engine
+        self.delegation = delegation
         self.request = request
         self.route = request.route
         self.shards = [ShardSearch(service) for service in self.route.shards]
@@ -65,9 +82,11 @@
     async def run(self) -> RequestOutcome:
         """Search until the decision is to answer."""
         delay = self.engine.timing(self.route).hedge_delay(self.cut - now())
+        self.delegate(delay)
         for shard in self.shards:
-            sent = self.send(shard)
-            shard.next_send = now() + (delay if sent else ROOM_RETRY_SECONDS)
+            if not shard.calls:
+                sent = self.send(shard)
+                shard.next_send = now() + (delay if sent else ROOM_RETRY_SECONDS)
         try:
             while True:
                 self.send_due()
@@ -160,7 +179,8 @@
         if isinstance(outcome, Unreached):
             shard.sends -= 1
         if isinstance(outcome, Answered) and outcome.good:
-            shard.part = shard.part or outcome
+            part = Part(outcome.body, [outcome.headers[self.engine.names.signature]])
+            shard.part = shard.part or part
             return
         if not certainly_not_run(outcome):
             shard.runs += 1
@@ -168,8 +188,89 @@
             self.log_failed_call(shard, upstream, outcome)
             if isinstance(outcome, Refused):
                 shard.tried.discard(upstream.record.name)
-            if not self.send(shard) and not shard.calls:
-                shard.next_send = now() + ROOM_RETRY_SECONDS
+            if not shard.calls:
+                self.send_again(shard)
+            else:
+                self.send(shard)
+
+    def delegate(self, delay: float) -> None:
+        """Leave the first calls of shards that this domain lacks to instances that have them."""
+        if self.delegation is None:
+            return
+        by_name = {shard.service: shard for shard in self.shards}
+        for delegate in self.delegation.delegates(list(by_name)):
+            group = [by_name[name] for name in delegate.shards]
+            task = self.engine.tasks.spawn(self.ask(delegate, group, delay), "ask for parts")
+            for shard in group:
+                self.engine.fleet.budget(shard.service).note_first(now())
+                shard.sends = 1
+                shard.calls[task] = delegate.target
+                shard.next_send = now() + delay + DELEGATE_TRIP_SECONDS
+
+    async def ask(self, delegate: Delegate, group: list[ShardSearch], delay: float) -> None:
+        """Take the parts that another instance gets, the later ones as they come."""
+        task = asyncio.current_task()
+        pending = {shard.service: shard for shard in group}
+        outcome: CallOutcome = Unreached("cancelled")
+        begun = False
+        try:
+            outcome = await self.delegation.ask(delegate, self.request, delay, first=True)
+            begun = not certainly_not_run(outcome)
+            while isinstance(outcome, Answered) and self.take_news(outcome, pending, task):
+                left = self.request.deadline - now()
+                outcome = await self.delegation.ask(delegate, self.request, left, first=False)
+        finally:
+            for shard in pending.values():
+                shard.calls.pop(task, None)
+            self.changed.set()
+        for shard in pending.values():
+            self.note_failed(shard, "", begun)
+
+    def take_news(
+        self, answer: Answered, pending: dict[str, ShardSearch], task: asyncio.Task[None] | None
+    ) -> bool:
+        """Take an answer of the other instance; whether to ask for more.
+
+        Shards that are no longer `pending` are taken out of it.
+        """
+        later = decode_shards(answer.headers.get(PENDING_HEADER, ""))
+        failed = decode_shards(answer.headers.get(FAILED_HEADER, ""))
+        done = [pending.pop(name) for name in list(pending) if name not in later]
+        for shard in done:
+            shard.calls.pop(task, None)
+        self.take_parts([shard for shard in done if shard.service not in failed], answer)
+        for shard in done:
+            if shard.service in failed:
+                self.note_failed(shard, failed[shard.service], bool(failed[shard.service]))
+        for name, shard in pending.items():
+            shard.tried.add(later[name])
+            if len(shard.calls) == 1:
+                shard.next_send = min(shard.next_send, now())
+        self.changed.set()
+        return any(shard.part is None for shard in pending.values()) and not self.finished()
+
+    def note_failed(self, shard: ShardSearch, upstream: str, may_have_run: bool) -> None:
+        """Go on with a shard whose call at the other instance failed."""
+        shard.runs += may_have_run
+        if upstream:
+            shard.tried.add(upstream)
+        if not may_have_run:
+            shard.sends -= 1
+        if shard.part is None and not shard.calls and not self.finished():
+            self.send_again(shard)
+
+    def take_parts(self, shards: list[ShardSearch], answer: Answered) -> None:
+        """Take merged parts; they replace what single calls brought meanwhile."""
+        signatures = answer.headers.get(self.engine.names.part_signatures, "").split(",")
+        parts = Part(answer.body, [signature.strip() for signature in signatures])
+        for shard in shards:
+            shard.part = parts
+            parts = Part(b"", [])
+
+    def send_again(self, shard: ShardSearch) -> None:
+        """Send the next call of a shard at once, or soon if no upstream has room."""
+        if not self.send(shard):
+            shard.next_send = now() + ROOM_RETRY_SECONDS
 
     def finished(self) -> bool:
         """Whether nobody waits for parts any more."""
@@ -177,16 +278,19 @@
 
     def release(self) -> None:
         """End calls whose parts are no longer wanted, leaving late ones a moment to end."""
+        loop = asyncio.get_running_loop()
         for shard in self.shards:
-            for task in shard.calls:
-                asyncio.get_running_loop().call_later(LOSER_SECONDS, task.cancel)
+            for task, upstream in shard.calls.items():
+                # The other instance leaves its calls a moment of its own.
+                elsewhere = upstream.record.service != shard.service
+                loop.call_later(UNWATCHED_SECONDS if elsewhere else LOSER_SECONDS, task.cancel)
 
     def outcome(self, verdict: Verdict) -> RequestOutcome:
         """Tagged outcome of the search."""
         if verdict is Verdict.ANSWER:
             parts = [shard.part for shard in self.shards if shard.part is not None]
             body = self.engine.merger.merge([part.body for part in parts], self.route.result_limit)
-            signatures = [part.headers[self.engine.names.signature] for part in parts]
+            signatures = [signature for part in parts for signature in part.signatures]
             return Gathered(body, signatures, len(self.shards) - len(parts))
         missing = [shard for shard in self.shards if shard.part is None]
         idle = [shard for shard in missing if not shard.calls] or missing
--- a/libs/forward/src/mimosahoist/forward/gathering.py
+++ b/libs/forward/src/mimosahoist/forward/gathering.py
@@ -89,6 +89,7 @@
         self.relays.set_preferred(
             [] if shards.gathers else [live[domain] for domain in order],
             [] if plain.gathers else [live.get(own_domain, [])],
+            {domain: found for domain, found in live.items() if domain != own_domain},
         )
 
     def shares(
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -11,6 +11,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.beliefs import Beliefs
+from mimosahoist.forward.delegation import Delegation
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.engine import ForwardEngine
 from mimosahoist.forward.fleet import UpstreamFleet
@@ -89,7 +90,14 @@
         self.peers.settled_listeners.append(self.follower.accounted.settle)
         self.rollouts = Rollouts(store, self.beliefs, self.fleet, self.peers, metrics)
         self.engine.call_listeners.append(self.rollouts.record)
-        self.dispatcher = Dispatcher(self.beliefs, self.engine, names, self.metrics, self.relays)
+        self.dispatcher = Dispatcher(
+            self.beliefs,
+            self.engine,
+            names,
+            self.metrics,
+            self.relays,
+            Delegation(self.engine, self.relays),
+        )
         self.front = CallerFront(self.dispatcher)
         self.relay_dispatcher = RelayDispatcher(self.beliefs, self.engine, names, metrics)
         self.relay_front = CallerFront(self.relay_dispatcher)
--- a/libs/forward/src/mimosahoist/forward/outcomes.py
+++ b/libs/forward/src/mimosahoist/forward/outcomes.py
@@ -77,6 +77,23 @@
     missing: int
 
 
+@dataclass(frozen=True)
+class Parts:
+    """Merged parts for another instance.
+
+    Attributes
+    ----------
+    pending, failed : dict
+        Shards whose calls are under way, and shards whose calls failed since the last answer, each
+        with the upstream that may have run its call, or "".
+    """
+
+    body: bytes
+    signatures: list[str]
+    pending: dict[str, str]
+    failed: dict[str, str]
+
+
 @dataclass(frozen=True)
 class NotRun:
     """No upstream ran the request and none will.
@@ -106,4 +123,4 @@
     reason: str = field(default="caller left")
 
 
-RequestOutcome = Forwarded | Gathered | NotRun | Failed | Abandoned
+RequestOutcome = Forwarded | Gathered | Parts | NotRun | Failed | Abandoned
--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -34,7 +34,8 @@
     from mimosahoist.forward.request import CallerRequest
 
 VERSION_HEADER = "X-Configuration-Version"
-NOT_RUN_STATUSES = frozenset((404, 408, 421, 429, 503))
+# Statuses of the other instance's own that it gives before anything is sent.
+NOT_RUN_STATUSES = frozenset((400, 404, 408, 413, 421, 429, 431, 503))
 STATUS_TIMEOUT = 504
 TARGET_CONNECTIONS = 16
 TARGETS_TRIED = 2
@@ -76,26 +77,35 @@
     for_searches, for_plain : list of list of Gatherer
         Instances that serve searches and plain requests, by failure domain, the preferred one
         first; empty if this instance serves by itself.
+    for_shards : dict
+        Instances of other failure domains that make the first calls of shards held there.
     """
 
     def __init__(self, engine: ForwardEngine) -> None:
         self.engine = engine
         self.for_searches: list[list[Gatherer]] = []
         self.for_plain: list[list[Gatherer]] = []
+        self.for_shards: dict[str, list[Gatherer]] = {}
         self.targets: dict[Gatherer, RelayTarget] = {}
 
     def set_preferred(
-        self, for_searches: list[list[Gatherer]], for_plain: list[list[Gatherer]]
+        self,
+        for_searches: list[list[Gatherer]],
+        for_plain: list[list[Gatherer]],
+        for_shards: dict[str, list[Gatherer]],
     ) -> None:
         """Take other sets of serving instances; calls in flight go on to their end."""
-        if (for_searches, for_plain) == (self.for_searches, self.for_plain):
+        before = (self.for_searches, self.for_plain, self.for_shards)
+        if (for_searches, for_plain, for_shards) == before:
             return
         self.for_searches = for_searches
         self.for_plain = for_plain
+        self.for_shards = for_shards
         json_log.change(
             "requests relayed to", searches=names_of(for_searches), plain=names_of(for_plain)
         )
-        wanted = {gatherer for domain in for_searches + for_plain for gatherer in domain}
+        domains = [*for_searches, *for_plain, *for_shards.values()]
+        wanted = {gatherer for domain in domains for gatherer in domain}
         for gatherer in self.targets.keys() - wanted:
             self.targets.pop(gatherer).close()
 
@@ -115,6 +125,13 @@
             found += reached
         return found[:TARGETS_TRIED]
 
+    def target_in(self, domain: str) -> RelayTarget | None:
+        """An instance to ask for parts that a failure domain holds."""
+        at = now()
+        targets = [self.target(gatherer) for gatherer in self.for_shards.get(domain, [])]
+        usable = [target for target in targets if target.has_room(at)]
+        return self.engine.rng.choice(usable) if usable else None
+
     def target(self, gatherer: Gatherer) -> RelayTarget:
         """Connections to a gathering instance."""
         found = self.targets.get(gatherer)
--- a/libs/forward/src/mimosahoist/forward/relay_server.py
+++ b/libs/forward/src/mimosahoist/forward/relay_server.py
@@ -1,20 +1,29 @@
-"""The side that gathers for other instances."""
+"""The side that serves other instances."""
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+from mimosahoist.forward.admission import Refusal
+from mimosahoist.forward.delegation import SECONDS_HEADER, SHARDS_HEADER, FirstCalls
 from mimosahoist.forward.dispatcher import Dispatcher
-from mimosahoist.forward.outcomes import NotRun, RequestOutcome
+from mimosahoist.forward.outcomes import NotRun, Parts, RequestOutcome
 from mimosahoist.forward.relay import VERSION_HEADER
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
 
-    from mimosahoist.forward.admission import Refusal
+    from mimosahoist.core.metrics import Metrics
+    from mimosahoist.forward.beliefs import Beliefs
+    from mimosahoist.forward.engine import ForwardEngine
+    from mimosahoist.forward.headers import HeaderNames
+    from mimosahoist.forward.request import CallerRequest
 
+KEPT_SECONDS = 10.0
 OTHER_VERSION = NotRun("another version of the configuration is in force here", 0.05)
 LEAVING = NotRun("this instance is about to stop", 0.05)
+NO_SUCH_SHARDS = Refusal(400, "the shards asked for are not the route's; compare configurations")
 
 
 class RelayDispatcher(Dispatcher):
@@ -27,19 +36,60 @@
     ----------
     leaving : bool
         Whether new requests are refused, so that the other instance goes elsewhere.
+    unfinished : dict
+        Calls for other instances that are under way, by request id.
     """
 
     hop = "relayed_request"
-    leaving = False
+
+    def __init__(
+        self, beliefs: Beliefs, engine: ForwardEngine, names: HeaderNames, metrics: Metrics
+    ) -> None:
+        super().__init__(beliefs, engine, names, metrics)
+        self.leaving = False
+        self.unfinished: dict[str, FirstCalls] = {}
 
     async def dispatch(
         self, method: str, target: str, headers: HTTPHeaders, body: bytes
     ) -> RequestOutcome | Refusal:
         """Serve one relayed request."""
-        if self.leaving:
+        if self.leaving and headers.get(self.names.request_id) not in self.unfinished:
             return LEAVING
         routes = self.beliefs.routes
         version = headers.pop(VERSION_HEADER, "")
         if routes is None or version != str(routes.configuration.version):
             return OTHER_VERSION
         return await super().dispatch(method, target, headers, body)
+
+    async def carry(self, request: CallerRequest) -> RequestOutcome | Refusal:
+        """Make the first calls of some shards, if that is asked for, or serve it whole."""
+        shards = request.headers.pop(SHARDS_HEADER, "")
+        seconds = request.headers.pop(SECONDS_HEADER, "")
+        if not seconds:
+            return await super().carry(request)
+        if not shards:
+            return await self.tell_more(request, float(seconds))
+        names = shards.split(",")
+        if not set(names) <= set(request.route.shards):
+            return NO_SUCH_SHARDS
+        calls = FirstCalls(self.engine, request, names)
+        calls.start()
+        self.unfinished[request.id] = calls
+        return await self.tell(request.id, calls, float(seconds), len(names))
+
+    async def tell_more(self, request: CallerRequest, seconds: float) -> RequestOutcome | Refusal:
+        """Tell what has come since the last answer, as soon as there is something."""
+        calls = self.unfinished.get(request.id)
+        if calls is None:
+            return NO_SUCH_SHARDS
+        return await self.tell(request.id, calls, seconds, 1)
+
+    async def tell(self, name: str, calls: FirstCalls, seconds: float, wanted: int) -> Parts:
+        """Answer with news, and forget calls that are all done."""
+        try:
+            return await calls.answer(seconds, wanted)
+        finally:
+            if not calls.calls:
+                self.unfinished.pop(name, None)
+            else:
+                asyncio.get_running_loop().call_later(KEPT_SECONDS, self.unfinished.pop, name, None)
--- /dev/null
+++ b/libs/forward/tests/test_delegation.py
@@ -0,0 +1,188 @@
+"""Shards that another instance is asked for, over real loopback connections."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from fakes import NAMES, World, answered, gathering
+from test_relay import ROUTE, ROUTES, SHARDS, GatheringInstance
+from tornado.httputil import HTTPHeaders
+
+from mimosahoist.core.metrics import Metrics
+from mimosahoist.forward import gather
+from mimosahoist.forward.beliefs import Beliefs
+from mimosahoist.forward.declarations import Configuration, SharedBounds
+from mimosahoist.forward.delegation import Delegation, decode_shards, encode_shards
+from mimosahoist.forward.dispatcher import Dispatcher
+from mimosahoist.forward.outcomes import Gathered
+from mimosahoist.forward.relay import Relays
+from mimosahoist.forward.routing import RouteTable
+
+OWN_SHARDS = 1
+
+
+class DelegationTest(unittest.IsolatedAsyncioTestCase):
+    """The own domain d holds the first shard; a, where the other instance is, and b hold all."""
+
+    def setUp(self) -> None:
+        # A busy machine must not pass for a silent instance.
+        trip = mock.patch.object(gather, "DELEGATE_TRIP_SECONDS", 0.2)
+        trip.start()
+        self.addCleanup(trip.stop)
+
+    async def asyncSetUp(self) -> None:
+        self.other = GatheringInstance()
+        self.own = World(SharedBounds(repeat_ratio=0.2, repeat_slack=1000.0), "d")
+        for number in range(SHARDS):
+            for domain in "abd" if number < OWN_SHARDS else "ab":
+                self.own.add(f"s{number}", domain)
+        beliefs = Beliefs(self.own.fleet)
+        beliefs.routes = RouteTable(Configuration(1, ROUTES))
+        self.relays = Relays(self.own.engine)
+        self.relays.set_preferred([], [], {"a": [self.other.offer("other")]})
+        self.delegation = Delegation(self.own.engine, self.relays)
+        self.dispatcher = Dispatcher(
+            beliefs, self.own.engine, NAMES, Metrics(), self.relays, self.delegation
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.relays.close()
+        await self.own.engine.close()
+        await self.other.close()
+
+    async def search(self) -> Gathered:
+        headers = HTTPHeaders({"Host": "h", NAMES.request_id: "r1", NAMES.time_left: "1000"})
+        outcome = await self.dispatcher.dispatch("GET", "/x/1", headers, b"")
+        self.assertIsInstance(outcome, Gathered)
+        return outcome
+
+    def own_arrivals(self, domains: str = "abd") -> int:
+        return sum(
+            len(upstream.arrivals)
+            for upstream in self.own.fleet.by_name.values()
+            if upstream.record.failure_domain in domains
+        )
+
+    def check_whole(self, outcome: Gathered) -> None:
+        self.assertEqual((outcome.missing, len(outcome.signatures)), (0, SHARDS))
+        services = {signature.removeprefix("signed-")[:2] for signature in outcome.signatures}
+        self.assertEqual(len(services), SHARDS)
+        self.assertEqual(len(outcome.body), SHARDS * 16)
+
+    async def test_shards_that_the_domain_lacks_come_by_one_request(self) -> None:
+        self.check_whole(await self.search())
+        self.assertEqual((self.other.arrivals, self.own_arrivals()), (SHARDS - 1, 1))
+        self.assertEqual(self.own.metrics.counters["relays_answered"], 1)
+        passed = self.other.world.fleet.by_name["s1-a"].passed_on[0]
+        self.assertEqual([name for name in passed if name.startswith("X-Shards")], [])
+
+    async def test_part_that_did_not_come_in_time_is_asked_for_here(self) -> None:
+        self.other.world.fleet.by_name["s2-a"].script = lambda number: (0.9, answered("s2-a"))
+        self.check_whole(await self.search())
+        self.assertEqual(self.own_arrivals("ab"), 1)
+
+    async def test_late_first_call_counts_when_no_repeat_is_left(self) -> None:
+        self.own.fleet.set_bounds(SharedBounds(repeat_ratio=0.0, repeat_slack=0.0))
+        part = answered("s2-a", b"s2".ljust(16))
+        self.other.world.fleet.by_name["s2-a"].script = lambda number: (0.3, part)
+        self.check_whole(await self.search())
+        self.assertEqual(self.own_arrivals("ab"), 0)
+        self.assertEqual(self.other.dispatcher.unfinished, {})
+
+    async def test_calls_that_nobody_asks_about_are_ended(self) -> None:
+        other = self.other.world.fleet.by_name["s2-a"]
+        other.script = lambda number: (5.0, answered("s2-a"))
+        await self.search()
+        await asyncio.sleep(0.9)
+        self.assertEqual(other.in_flight, {})
+
+    async def test_part_that_failed_is_asked_for_here_at_another_upstream(self) -> None:
+        failing = answered("s2-a", status=500)
+        self.other.world.fleet.by_name["s2-a"].script = lambda number: (0.01, failing)
+        self.check_whole(await self.search())
+        self.assertEqual(len(self.own.fleet.by_name["s2-b"].arrivals), 1)
+
+    async def test_no_shard_is_asked_more_often_than_the_route_allows(self) -> None:
+        for upstream in self.other.world.fleet.by_name.values():
+            upstream.script = lambda number: (0.01, answered("x", status=500))
+        for name, upstream in self.own.fleet.by_name.items():
+            if not name.startswith("s0"):
+                upstream.script = lambda number: (0.01, answered("x", status=500))
+        headers = HTTPHeaders({"Host": "h", NAMES.request_id: "r1", NAMES.time_left: "1000"})
+        await self.dispatcher.dispatch("GET", "/x/1", headers, b"")
+        for number in range(1, SHARDS):
+            runs = len(self.other.world.fleet.by_name[f"s{number}-a"].arrivals)
+            runs += sum(len(self.own.fleet.by_name[f"s{number}-{at}"].arrivals) for at in "ab")
+            self.assertEqual(runs, ROUTE.max_attempts)
+
+    async def test_calls_that_were_begun_count_when_the_rest_is_refused(self) -> None:
+        for upstream in self.other.world.fleet.by_name.values():
+            upstream.script = lambda number: (5.0, None)
+        for name, upstream in self.own.fleet.by_name.items():
+            if not name.startswith("s0"):
+                upstream.script = lambda number: (0.05, answered("x", status=500))
+        headers = HTTPHeaders({"Host": "h", NAMES.request_id: "r1", NAMES.time_left: "1000"})
+        asked = asyncio.create_task(self.dispatcher.dispatch("GET", "/x/1", headers, b""))
+        while not self.other.dispatcher.unfinished:
+            await asyncio.sleep(0.005)
+        self.other.dispatcher.beliefs.routes = RouteTable(Configuration(2, ROUTES))
+        await asked
+        for number in range(1, SHARDS):
+            runs = len(self.other.world.fleet.by_name[f"s{number}-a"].arrivals)
+            runs += sum(len(self.own.fleet.by_name[f"s{number}-{at}"].arrivals) for at in "ab")
+            self.assertLessEqual(runs, ROUTE.max_attempts)
+
+    async def test_silent_instance_costs_a_hedge_and_no_shard(self) -> None:
+        for upstream in self.other.world.fleet.by_name.values():
+            upstream.script = lambda number: (5.0, None)
+        self.relays.target_in("a").call = self.never
+        self.check_whole(await self.search())
+        self.assertEqual(self.own_arrivals("ab"), SHARDS - 1)
+
+    async def never(self, request: object, until: float) -> None:
+        await asyncio.sleep(60.0)
+
+    async def test_instance_that_is_gone_or_refuses_costs_nothing(self) -> None:
+        cases = {
+            "gone": lambda: self.other.server.stop(),
+            "leaving": lambda: setattr(self.other.dispatcher, "leaving", True),
+            "another configuration": lambda: setattr(
+                self.other.dispatcher.beliefs, "routes", RouteTable(Configuration(2, ROUTES))
+            ),
+        }
+        for name, break_it in cases.items():
+            with self.subTest(name):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                break_it()
+                self.check_whole(await self.search())
+                self.assertEqual((self.other.arrivals, self.own_arrivals()), (0, SHARDS))
+
+    async def test_late_parts_replace_single_ones_and_nothing_counts_twice(self) -> None:
+        target = self.relays.target_in("a")
+        call = target.call
+
+        async def late(request: object, until: float) -> object:
+            outcome = await call(request, until)
+            await asyncio.sleep(0.5)
+            return outcome
+
+        target.call = late
+        self.own.fleet.by_name["s3-b"].script = lambda number: (0.9, answered("s3-b"))
+        self.own.fleet.by_name["s3-a"].script = lambda number: (0.9, answered("s3-a"))
+        self.check_whole(await self.search())
+
+    async def test_which_shards_are_delegated(self) -> None:
+        shards = list(gathering(SHARDS).shards)
+        found = self.delegation.delegates(shards)
+        self.assertEqual([delegate.shards for delegate in found], [shards[1:]])
+        self.assertEqual(self.delegation.delegates(shards[:2]), [])
+        self.relays.set_preferred([], [], {})
+        self.assertEqual(self.delegation.delegates(shards), [])
+
+    def test_shards_survive_the_wire(self) -> None:
+        for shards in ({}, {"s1": "i-1"}, {"s1": "", "s2": "i-2"}):
+            with self.subTest(shards=shards):
+                self.assertEqual(decode_shards(encode_shards(shards)), shards)
