A soak of the deployed program: processes, faulty links, signals, a disturbed store, promises judged

Four instances as processes, stand-in searchers and store behind links that delay, reset, fall silent or answer one way only; stop, pause, kill, restart; drains, domains out, configurations; faults in series and overlapping. Judged: own and whole answers, coverage, refusals that are true, attempts, drains, domains out, graceful stops. Not covered: links between instances, jumping clocks, callers' kept connections.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LIBRARIES := core platform declare peers forward upstream query moves entry cli lab
 EDITABLE := $(foreach name,$(LIBRARIES),-e libs/$(name))
 
-.PHONY: setup test demo demo-entry measure capacity soak lint format
+.PHONY: setup test demo demo-entry measure capacity soak process-soak lint format
 
 setup: $(VENV)/.installed
 
@@ -32,6 +32,9 @@
 soak: setup
 	$(BIN)/mimosahoist-lab soak --seed 1 --seconds 60
 
+process-soak: setup
+	cd platform && ../$(BIN)/python soak.py --first 1 --seeds 10
+
 lint: setup
 	$(BIN)/black --check --quiet libs platform tools examples
 	$(BIN)/ruff check --quiet libs platform tools examples
