A request counts once for the repeat budget, however often it is not reached

Found on reading: each call that reached nobody gave its first send back, and the next one was counted as another request, so a budget grew by up to three times the requests just when upstreams were lost. Test fails first: test_request_counts_once_for_the_budget_however_often_it_is_not_reached (3 for 1).

--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -56,6 +56,7 @@
         self.tried: set[str] = set()
         self.runs = 0
         self.sends = 0
+        self.counted = False
         self.next_send = 0.0
 
 
@@ -157,7 +158,7 @@
             return False
         budget = self.engine.fleet.budget(shard.service)
         if not shard.sends:
-            budget.note_first(now())
+            self.note_first(shard)
         elif not budget.spend(now()):
             self.engine.metrics.count("budget_exhausted")
             return False
@@ -167,6 +168,12 @@
         shard.calls[task] = upstream
         return True
 
+    def note_first(self, shard: ShardSearch) -> None:
+        """Count a request for a shard's service once, however often it is not reached."""
+        if not shard.counted:
+            shard.counted = True
+            self.engine.fleet.budget(shard.service).note_first(now())
+
     async def call(self, shard: ShardSearch, upstream: Upstream) -> None:
         """Carry one call, then replace it if it failed."""
         task = asyncio.current_task()
@@ -202,7 +209,7 @@
             group = [by_name[name] for name in delegate.shards]
             task = self.engine.tasks.spawn(self.ask(delegate, group, delay), "ask for parts")
             for shard in group:
-                self.engine.fleet.budget(shard.service).note_first(now())
+                self.note_first(shard)
                 shard.sends = 1
                 shard.calls[task] = delegate.target
                 shard.next_send = now() + delay + DELEGATE_TRIP_SECONDS
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -47,6 +47,7 @@
         self.failure: Answered | None = None
         self.runs = 0
         self.sends = 0
+        self.counted = False
 
     async def run(self) -> RequestOutcome:
         """Forward until there is an answer or nothing more can be tried."""
@@ -82,7 +83,7 @@
             return False
         budget = self.engine.fleet.budget(self.service)
         if not self.sends:
-            budget.note_first(now())
+            self.note_first()
         elif not budget.spend(now()):
             self.engine.metrics.count("budget_exhausted")
             return False
@@ -91,6 +92,12 @@
         self.calls.add(self.engine.tasks.spawn(self.call(upstream), f"call {self.service}"))
         return True
 
+    def note_first(self) -> None:
+        """Count the request for its service once, however often it is not reached."""
+        if not self.counted:
+            self.counted = True
+            self.engine.fleet.budget(self.service).note_first(now())
+
     async def call(self, upstream: Upstream) -> None:
         """Carry one call, then try another upstream if that is allowed."""
         task = asyncio.current_task()
--- a/libs/forward/tests/test_gather.py
+++ b/libs/forward/tests/test_gather.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from fakes import NAMES, World, answered, gathering, quick
+from fakes import NAMES, World, answered, gathering, plain, quick
 
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import SharedBounds
@@ -16,6 +16,7 @@
     Refused,
     Unreached,
 )
+from mimosahoist.forward.plain import PlainForward
 from mimosahoist.lab.paused_loop import PausedTestCase
 
 ROOMY = SharedBounds(repeat_ratio=0.2, repeat_slack=1000.0)
@@ -132,3 +133,16 @@
         self.assertEqual(len(left), 1)
         self.assertLessEqual(left[0], 1100)
         self.assertEqual(second.passed_on[0][NAMES.wanted_upstream], "s0-b")
+
+    async def test_request_counts_once_for_the_budget_however_often_it_is_not_reached(self) -> None:
+        for gathers in (True, False):
+            with self.subTest(gathers=gathers):
+                world = World(ROOMY)
+                service = "s0" if gathers else "desk"
+                for domain in "abc":
+                    world.add(service, domain, lambda number: (0.01, Unreached("refused")))
+                if gathers:
+                    await Gather(world.engine, world.request(gathering(1))).run()
+                else:
+                    await PlainForward(world.engine, world.request(plain())).run()
+                self.assertEqual(len(world.fleet.budget(service).firsts), 1)
