--- a/libs/lab/src/mimosahoist/lab/forward_experiment.py
+++ b/libs/lab/src/mimosahoist/lab/forward_experiment.py
@@ -30,6 +30,8 @@
 if TYPE_CHECKING:
     import argparse
 
+    from mimosahoist.forward.route_timing import RouteTiming
+
 SHARDS = 10
 DOMAINS = ("a", "b", "c")
 SPEEDS = (0.8, 1.0, 1.3)
@@ -79,8 +81,9 @@
 class ForwardExperiment:
     """One instance before the upstreams of ten shards."""
 
-    def __init__(self, way: Way, seed: int) -> None:
+    def __init__(self, way: Way, seed: int, timing: RouteTiming | None = None) -> None:
         self.way = way
+        self.timing = timing
         self.rng = random.Random(f"{seed}/forward")
         names = HeaderNames()
         bounds = SharedBounds(repeat_ratio=way.repeat_ratio, repeat_slack=0.0)
@@ -128,6 +131,8 @@
             result_limit=10,
             min_coverage=0.75,
         )
+        if self.timing is not None:
+            self.engine.timings[route.name] = self.timing
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         running = []
@@ -182,11 +187,11 @@
         )
 
 
-def play(way: Way, seconds: float, seed: int) -> Figures:
-    """Play one way on the paused clock."""
+def play(way: Way, seconds: float, seed: int, timing: RouteTiming | None = None) -> Figures:
+    """Play one way on the paused clock, with the product's own timing or another one."""
 
     async def run() -> Figures:
-        return await ForwardExperiment(way, seed).run(seconds)
+        return await ForwardExperiment(way, seed, timing).run(seconds)
 
     return run_paused(run())
 
--- a/libs/lab/src/mimosahoist/lab/main.py
+++ b/libs/lab/src/mimosahoist/lab/main.py
@@ -10,7 +10,7 @@
 
 from absl import logging
 
-from mimosahoist.lab import capacity, forward_experiment, measure, soak
+from mimosahoist.lab import capacity, forward_experiment, hedging, measure, soak
 from mimosahoist.lab import deployment as sizes
 from mimosahoist.lab.demo import demo
 from mimosahoist.lab.platform_model import PlatformModel
@@ -85,7 +85,11 @@
     played = subparsers.add_parser("forward", help="searches through pauses, way beside way")
     played.add_argument("--seconds", type=float, default=60.0)
     played.set_defaults(plain=forward_experiment.command)
-    for subparser in (platform, searchers, shown, soaked, measured, job, sized, played):
+    hedged = subparsers.add_parser("hedging", help="ways to double calls, by credit and budget")
+    hedged.add_argument("--seconds", type=float, default=20.0)
+    hedged.add_argument("--output", help="file for the figures; a plot is written beside it")
+    hedged.set_defaults(plain=hedging.command)
+    for subparser in (platform, searchers, shown, soaked, measured, job, sized, played, hedged):
         subparser.add_argument("--seed", type=int, default=DEFAULT_SEED)
     return parser
 
--- a/libs/lab/tests/test_forward_experiment.py
+++ b/libs/lab/tests/test_forward_experiment.py
@@ -3,6 +3,7 @@
 import unittest
 
 from mimosahoist.lab.forward_experiment import Way, play
+from mimosahoist.lab.hedging import FixedTiming, QuantileTiming
 
 SECONDS = 12.0
 SEED = 3
@@ -30,3 +31,9 @@
 
     def test_same_seed_same_figures(self) -> None:
         self.assertEqual(play(Way("x"), 3.0, SEED), play(Way("x"), 3.0, SEED))
+
+    def test_percentile_spends_the_budget_better_than_a_fixed_time(self) -> None:
+        way = Way("tight", repeat_ratio=0.1, slow_share=0.15)
+        early = play(way, SECONDS, SEED, FixedTiming(0.03))
+        percentile = play(way, SECONDS, SEED, QuantileTiming(88.0))
+        self.assertGreater(percentile.credit, early.credit)
