--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -140,7 +140,8 @@
             rng,
             list(settings.peer_seeds),
         )
-        self.offered: tuple[float, str] = (settings.capacity, settings.relay_address)
+        capacity = settings.capacity if settings.relay_address else 0.0
+        self.offered: tuple[float, str] = (capacity, settings.relay_address)
         self.member_listeners: list[Callable[[], None]] = []
         self.outage_listeners: list[Callable[[], None]] = []
         self.board.register(BeliefFacts(), self.handle_belief)
--- a/libs/forward/src/mimosahoist/forward/rollouts.py
+++ b/libs/forward/src/mimosahoist/forward/rollouts.py
@@ -120,12 +120,10 @@
         """Put an order, its progress or its removal in force."""
         if kind is not WatchedKind.ROLLOUTS:
             return
-        for service in [name for name, split in self.fleet.splits.items() if name == item.name]:
-            if not isinstance(item.value, RolloutOrder):
-                del self.fleet.splits[service]
-                json_log.change("rollout withdrawn", service=service)
         if isinstance(item.value, RolloutOrder):
             self.put_in_force(item.value)
+        elif self.fleet.splits.pop(item.name, None) is not None:
+            json_log.change("rollout withdrawn", service=item.name)
 
     def put_in_force(self, order: RolloutOrder) -> None:
         """Split the service's calls as an order and its progress say."""
