Gathering pushes to peers is the users' platform's choice; the product's own instances push at once again

Why these fleets are so sensitive to 50 ms is not traced; with an interval of 0.0 on a timer in place of call_soon one of them still failed. Now the interval is an argument: 0 for them as before, 50 ms for libs/forward.

--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -39,6 +39,7 @@
 # A byte that MessagePack never uses.
 COMPRESSED = b"\xc1"
 WATCHERS = 3
+PUSH_INTERVAL_SECONDS = 0.05
 PEER_SILENCE_SECONDS = 1.0
 VALUE_TYPES: dict[WatchedKind, Any] = {
     WatchedKind.CONFIGURATION: Configuration,
@@ -139,6 +140,7 @@
             metrics,
             rng,
             list(settings.peer_seeds),
+            PUSH_INTERVAL_SECONDS,
         )
         capacity = settings.capacity if settings.relay_address else 0.0
         self.offered: tuple[float, str] = (capacity, settings.relay_address)
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -38,7 +38,6 @@
     from mimosahoist.platform.store import Changes
     from mimosahoist.platform.versioned import VersionedCopy
 
-PUSH_INTERVAL = 0.05
 URGENT_FANOUT = 3
 PRUNE_ROUNDS = 10
 
@@ -72,6 +71,7 @@
         metrics: Metrics,
         rng: random.Random,
         seeds: list[str],
+        push_interval: float = 0.0,
     ) -> None:
         self.identity = identity
         self.incarnation = identity.incarnation
@@ -82,6 +82,7 @@
         self.metrics = metrics
         self.rng = rng
         self.seeds = seeds
+        self.push_interval = push_interval
         self.tasks = TaskSet()
         self.prober = Prober(self)
         self.progress = ProgressTable(identity.incarnation, board, objects, instances)
@@ -89,7 +90,7 @@
         self.cached_at = -1
         self.last_contact = 0.0
         self.heard_at: dict[str, float] = {}
-        self.push_timer: asyncio.TimerHandle | None = None
+        self.push_timer: asyncio.Handle | None = None
         self.pushed_at = 0.0
         self.pushed = Position(0, 0, 0)
         self.member_listeners: list[Callable[[str, Member], None]] = []
@@ -221,9 +222,14 @@
         The first push goes at once; while changes keep coming, as at the start of a fleet, they
         are gathered for a moment, or each would be a frame to several peers at every instance.
         """
-        if self.push_timer is None:
-            at = max(now(), self.pushed_at + PUSH_INTERVAL)
-            self.push_timer = asyncio.get_running_loop().call_at(at, self.push)
+        if self.push_timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        earliest = self.pushed_at + self.push_interval
+        if now() < earliest:
+            self.push_timer = loop.call_at(earliest, self.push)
+        else:
+            self.push_timer = loop.call_soon(self.push)
 
     def push(self) -> None:
         """Push what changed since the last push to a few random peers; probes carry the rest."""
