A call that is given up elsewhere is no part; versions are held for a while only after completion, also at a later start

Found on reading. (1) A first call that was ended because nobody had asked for 0.3 s was neither a part nor a failure, so an asking instance that came late (frozen, slow link) took its shard as covered without a signature: a search would have told two parts and none missing of four. Now it is a failure, and the asking side takes parts only if there is one signature for each shard. (2) An instance that started after a rollout was completed kept all other versions of the service from calls for ever. Three tests fail first: test_call_given_up_elsewhere_is_no_part, test_answer_that_names_too_few_parts_covers_no_shard ((0, 2) for (0, 4)), test_instance_that_starts_after_completion_holds_versions_no_longer.

--- a/libs/forward/src/mimosahoist/forward/delegation.py
+++ b/libs/forward/src/mimosahoist/forward/delegation.py
@@ -101,21 +101,20 @@
         )
 
     async def call(self, shard: str) -> None:
-        """Call one upstream of a shard."""
+        """Call one upstream of a shard; a call that is given up has failed, too."""
         try:
             upstream = self.engine.choose(self.request.route, shard, set())
             if upstream is None:
-                self.failed.add(shard)
                 return
             self.tried[shard] = upstream.record.name
             outcome = await self.engine.call(upstream, self.request, self.request.deadline)
             if isinstance(outcome, Answered) and outcome.good:
                 self.fresh[shard] = outcome
-                return
-            self.failed.add(shard)
-            if certainly_not_run(outcome):
+            elif certainly_not_run(outcome):
                 del self.tried[shard]
         finally:
+            if shard not in self.fresh:
+                self.failed.add(shard)
             self.calls.pop(shard, None)
             self.changed.set()
 
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -245,7 +245,10 @@
         done = [pending.pop(name) for name in list(pending) if name not in later]
         for shard in done:
             shard.calls.pop(task, None)
-        self.take_parts([shard for shard in done if shard.service not in failed], answer)
+        answered = [shard for shard in done if shard.service not in failed]
+        if not self.take_parts(answered, answer):
+            for shard in answered:
+                self.note_failed(shard, "", True)
         for shard in done:
             if shard.service in failed:
                 self.note_failed(shard, failed[shard.service], bool(failed[shard.service]))
@@ -266,13 +269,20 @@
         if shard.part is None and not shard.calls and not self.finished():
             self.send_again(shard)
 
-    def take_parts(self, shards: list[ShardSearch], answer: Answered) -> None:
-        """Take merged parts; they replace what single calls brought meanwhile."""
-        signatures = answer.headers.get(self.engine.names.part_signatures, "").split(",")
-        parts = Part(answer.body, [signature.strip() for signature in signatures])
+    def take_parts(self, shards: list[ShardSearch], answer: Answered) -> bool:
+        """Take merged parts; they replace what single calls brought meanwhile.
+
+        False, and nothing is taken, unless there is one signature for each of the shards.
+        """
+        value = answer.headers.get(self.engine.names.part_signatures, "")
+        signatures = [item.strip() for item in value.split(",") if item.strip()]
+        if len(signatures) != len(shards):
+            return False
+        parts = Part(answer.body, signatures)
         for shard in shards:
             shard.part = parts
             parts = Part(b"", [])
+        return True
 
     def send_again(self, shard: ShardSearch) -> None:
         """Send the next call of a shard at once, or soon if no upstream has room."""
--- a/libs/forward/src/mimosahoist/forward/version_split.py
+++ b/libs/forward/src/mimosahoist/forward/version_split.py
@@ -34,7 +34,8 @@
         self.changed_at = at
         self.seen_state = order.state
         self.weight = 0.0
-        self.held_until = float("inf")
+        completed = order.state.phase is RolloutPhase.COMPLETED
+        self.held_until = at + COMPLETED_HOLD_SECONDS if completed else float("inf")
         self.calls = 0
         self.target_calls = 0
 
--- a/libs/forward/tests/test_delegation.py
+++ b/libs/forward/tests/test_delegation.py
@@ -15,7 +15,12 @@
 from mimosahoist.forward import gather
 from mimosahoist.forward.beliefs import Beliefs
 from mimosahoist.forward.declarations import Configuration, SharedBounds
-from mimosahoist.forward.delegation import Delegation, decode_shards, encode_shards
+from mimosahoist.forward.delegation import (
+    Delegation,
+    FirstCalls,
+    decode_shards,
+    encode_shards,
+)
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.outcomes import Gathered
 from mimosahoist.forward.relay import Relays
@@ -139,6 +144,33 @@
             runs += sum(len(self.own.fleet.by_name[f"s{number}-{at}"].arrivals) for at in "ab")
             self.assertLessEqual(runs, ROUTE.max_attempts)
 
+    async def test_call_given_up_elsewhere_is_no_part(self) -> None:
+        for upstream in self.other.world.fleet.by_name.values():
+            upstream.script = lambda number: (5.0, None)
+        calls = FirstCalls(self.other.world.engine, self.other.world.request(ROUTE), ["s1", "s2"])
+        calls.start()
+        first = await calls.answer(0.02, 2)
+        self.assertEqual((sorted(first.pending), first.failed), (["s1", "s2"], {}))
+        calls.cancel()
+        await asyncio.sleep(0.02)
+        later = await calls.answer(0.02, 1)
+        self.assertEqual((later.signatures, later.pending), ([], {}))
+        self.assertEqual(later.failed, {"s1": "s1-a", "s2": "s2-a"})
+
+    async def test_answer_that_names_too_few_parts_covers_no_shard(self) -> None:
+        target = self.relays.target_in("a")
+        call = target.call
+
+        async def without_parts(request: object, until: float) -> object:
+            outcome = await call(request, until)
+            headers = outcome.headers.copy()
+            headers[NAMES.part_signatures] = ""
+            return replace(outcome, headers=headers, body=b"")
+
+        target.call = without_parts
+        self.check_whole(await self.search())
+        self.assertEqual(self.own_arrivals("ab"), SHARDS - 1)
+
     async def test_silent_instance_costs_a_hedge_and_no_shard(self) -> None:
         for upstream in self.other.world.fleet.by_name.values():
             upstream.script = lambda number: (5.0, None)
--- a/libs/forward/tests/test_rollout_plan.py
+++ b/libs/forward/tests/test_rollout_plan.py
@@ -121,6 +121,14 @@
         self.assertEqual(len(split.allowed(upstreams, 5.0)), 1)
         self.assertEqual(len(split.allowed(upstreams, 5.0 + COMPLETED_HOLD_SECONDS)), 3)
 
+    async def test_instance_that_starts_after_completion_holds_versions_no_longer(self) -> None:
+        world, _ = await self.make()
+        split = VersionSplit(order(RolloutPhase.COMPLETED, 1.0), 5.0)
+        split.set_weight(1.0)
+        upstreams = world.fleet.services["desk"].values()
+        self.assertEqual(len(split.allowed(upstreams, 5.0)), 1)
+        self.assertEqual(len(split.allowed(upstreams, 5.0 + COMPLETED_HOLD_SECONDS)), 3)
+
     async def test_share_is_never_exceeded_and_repeats_stay_with_the_others(self) -> None:
         world, split = await self.make()
         split.set_weight(CANARY_WEIGHT)
