A removed upstream is held back for two seconds at most, however many instances return to the store

Now each entry waits from when it was first missing. Test fails first: test_returns_one_after_the_other_hold_a_removal_back_only_once.

--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from mimosahoist.core import json_log
 from mimosahoist.core.problem import Problem
@@ -47,6 +47,13 @@
         """Whether this instance watches the store for others too."""
 
 
+class Absence(NamedTuple):
+    """An entry that is missing, and the loop time from which it counts as gone."""
+
+    item: WatchedItem
+    until: float
+
+
 class StoreFollower:
     """Watches each kind after a list, and lists again where history was lost.
 
@@ -92,7 +99,7 @@
         self.tasks = TaskSet()
         self.away_since: dict[WatchedKind, float] = {}
         self.recheck_until = 0.0
-        self.absent: dict[str, WatchedItem] = {}
+        self.absent: dict[str, Absence] = {}
 
     async def start(self) -> None:
         """Begin to follow every kind."""
@@ -222,9 +229,9 @@
         """Believe changes, but hold absence back while lapsed entries may return."""
         for item in changes.items:
             if kind is WatchedKind.UPSTREAMS:
-                self.absent.pop(item.name, None)
+                held = self.absent.pop(item.name, None)
                 if item.value is None and now() < self.recheck_until:
-                    self.absent[item.name] = item
+                    self.hold_back(item, held)
                     continue
             self.beliefs.take(kind, item)
 
@@ -249,10 +256,21 @@
         self.recheck_until = now() + self.recheck_seconds
         asyncio.get_running_loop().call_at(self.recheck_until, self.believe_absence)
 
+    def hold_back(self, item: WatchedItem, held: Absence | None) -> None:
+        """Wait for an entry's return, from when it was first missing.
+
+        Instances that the store had turned away return one after the other; each return must not
+        hold back anew what was already missing.
+        """
+        until = held.until if held is not None else now() + self.recheck_seconds
+        self.absent[item.name] = Absence(item, until)
+        if held is None:
+            asyncio.get_running_loop().call_at(until, self.believe_absence)
+
     def believe_absence(self) -> None:
         """Take entries as gone that did not come back in time."""
-        if now() < self.recheck_until:
-            return
-        absent, self.absent = self.absent, {}
-        for item in absent.values():
-            self.beliefs.take(WatchedKind.UPSTREAMS, item)
+        at = now()
+        for name, absence in list(self.absent.items()):
+            if at >= min(absence.until, self.recheck_until):
+                del self.absent[name]
+                self.beliefs.take(WatchedKind.UPSTREAMS, absence.item)
--- a/libs/forward/tests/test_follower.py
+++ b/libs/forward/tests/test_follower.py
@@ -125,6 +125,18 @@
         self.assertNotIn("u1", self.fleet.by_name)
         await self.follower.close()
 
+    async def test_returns_one_after_the_other_hold_a_removal_back_only_once(self) -> None:
+        await self.start()
+        self.follower.hold_absence()
+        await asyncio.sleep(0.5)
+        self.store.put(WatchedKind.UPSTREAMS, "u1", None)
+        for _ in range(4):
+            await asyncio.sleep(0.6)
+            self.follower.hold_absence()
+            await self.follower.read_all(WatchedKind.UPSTREAMS)
+        self.assertNotIn("u1", self.fleet.by_name)
+        await self.follower.close()
+
     async def test_entry_removed_while_the_store_serves_is_gone_at_once(self) -> None:
         await self.start()
         self.store.put(WatchedKind.UPSTREAMS, "u1", None)
