Count calls that upstreams refused against the repeat budget, also those made for others

Two kinds of arrival were counted by nobody. A delegated call that the searcher refused with 503 was reported as never sent, so the requesting instance sent its replacement as a first send. A search or plain request that all upstreams refused was started again by the next gathering instance, whose first sends earned repeats once more. The trace shows the third part: the same searcher is asked again 3 ms after it refused, from the same budget.

Now an instance reports refused shards apart from failed ones, a relayed refusal says whether upstreams were called, and an upstream that refused is left alone for 25 ms, doubling to 0.4 s, and costs more in the choice while it refuses a large share.

The slack is divided by WindowedShare: a share that rises (start, role, smaller fleet) applies only when the window has passed, so nothing spent under an earlier division is left in it. The margin for restarts goes from 0.6 to 0.8.

--- a/libs/forward/src/mimosahoist/forward/choice.py
+++ b/libs/forward/src/mimosahoist/forward/choice.py
@@ -12,6 +12,9 @@
 
 OTHER_DOMAIN_PENALTY = 4.0
 FAILURE_PENALTY = 4.0
+# A refused call costs a repeat from a budget that hedges need, so a copy in another failure domain
+# is preferred to one that refuses a third of its calls.
+REFUSAL_PENALTY = 12.0
 STALL_PENALTY = 6.0
 COLD_PENALTY = 3.0
 UNREACHABLE_DOMAIN_PENALTY = 50.0
@@ -50,6 +53,7 @@
     health = upstream.health
     excess_occupancy = max(0.0, upstream.occupancy(context.at) - OCCUPANCY_THRESHOLD)
     total = health.latency_ratio * (1.0 + excess_occupancy) + FAILURE_PENALTY * health.failure_rate
+    total += REFUSAL_PENALTY * health.refusal_rate(context.at)
     if (
         upstream.max_call_age(context.at)
         > STALL_LATENCY_MULTIPLE * context.typical_latency + STALL_SLACK_SECONDS
--- a/libs/forward/src/mimosahoist/forward/delegation.py
+++ b/libs/forward/src/mimosahoist/forward/delegation.py
@@ -26,6 +26,7 @@
 ANSWER_WITHIN_HEADER = "X-Answer-Within"
 PENDING_SHARDS_HEADER = "X-Pending-Shards"
 FAILED_SHARDS_HEADER = "X-Failed-Shards"
+REFUSED_SHARDS_HEADER = "X-Refused-Shards"
 MIN_DELEGATED_SHARDS = 2
 POLL_RESPONSE_MARGIN_SECONDS = 0.006
 # Delegated calls are cancelled if they are not polled again within this time.
@@ -46,6 +47,9 @@
     ----------
     attempted_upstreams : dict
         Upstream of each shard that may have run the call.
+    new_refusals : dict
+        Upstream of each shard that refused the call since the last poll. The refused call counts
+        against the repeat budget of the requesting instance, although it did not run.
     """
 
     def __init__(self, engine: ForwardEngine, request: CallerRequest, shards: list[str]) -> None:
@@ -54,6 +58,7 @@
         self.shards = shards
         self.new_answers: dict[str, Answered] = {}
         self.new_failures: set[str] = set()
+        self.new_refusals: dict[str, str] = {}
         self.attempted_upstreams: dict[str, str] = {}
         self.calls: dict[str, asyncio.Task[None]] = {}
         self.changed = asyncio.Event()
@@ -78,7 +83,7 @@
             self.poll_timer.cancel()
         try:
             async with asyncio.timeout(max(0.0, seconds - POLL_RESPONSE_MARGIN_SECONDS)):
-                while self.calls and len(self.new_answers) + len(self.new_failures) < enough:
+                while self.calls and self.new_result_count < enough:
                     self.changed.clear()
                     await self.changed.wait()
         except TimeoutError:
@@ -88,10 +93,16 @@
             self.poll_timer = loop.call_later(POLL_TIMEOUT_SECONDS, self.cancel)
         return self.take_new_results()
 
+    @property
+    def new_result_count(self) -> int:
+        """Number of shards whose calls ended since the last poll."""
+        return len(self.new_answers) + len(self.new_failures) + len(self.new_refusals)
+
     def take_new_results(self) -> Parts:
         """Return the parts and failures since the last poll and clear them."""
         answers, self.new_answers = self.new_answers, {}
         failures, self.new_failures = self.new_failures, set()
+        refusals, self.new_refusals = self.new_refusals, {}
         return Parts(
             self.engine.merger.merge(
                 [answer.body for answer in answers.values()], self.request.route.result_limit
@@ -99,6 +110,7 @@
             [answer.headers[self.engine.header_names.signature] for answer in answers.values()],
             {shard: self.attempted_upstreams.get(shard, "") for shard in self.calls},
             {shard: self.attempted_upstreams.get(shard, "") for shard in failures},
+            refusals,
         )
 
     async def call(self, shard: str) -> None:
@@ -113,8 +125,10 @@
                 self.new_answers[shard] = outcome
             elif certainly_not_run(outcome):
                 del self.attempted_upstreams[shard]
+                if isinstance(outcome, Refused):
+                    self.new_refusals[shard] = upstream.record.name
         finally:
-            if shard not in self.new_answers:
+            if shard not in self.new_answers and shard not in self.new_refusals:
                 self.new_failures.add(shard)
             self.calls.pop(shard, None)
             self.changed.set()
--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -43,6 +43,8 @@
     ----------
     label : str
         Name of a request in log events and metrics.
+    serves_instances : bool
+        Whether requests come from other instances instead of callers.
     relays : RelayClient or None
         Client for other instances that may serve requests for this one.
     delegation : Delegation or None
@@ -50,6 +52,7 @@
     """
 
     label = "request"
+    serves_instances = False
 
     def __init__(
         self,
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -124,6 +124,12 @@
             return Availability.SOON
         return Availability.UNCERTAIN if listed else Availability.NONE
 
+    def record_refusal(self, upstream: str) -> None:
+        """Record that an upstream refused a call that another instance made for this one."""
+        found = self.fleet.by_name.get(upstream)
+        if found is not None:
+            found.health.record_refusal(now())
+
     def record_overdue(self, upstreams: Iterable[Upstream]) -> None:
         """Count calls not answered in the usual time as failures of their failure domains."""
         for upstream in upstreams:
--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -8,7 +8,7 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import ServiceLimits
 from mimosahoist.forward.repeat_budget import RepeatBudget
-from mimosahoist.forward.shares import FleetShares, Shares
+from mimosahoist.forward.shares import FleetShares, Shares, WindowedShare
 from mimosahoist.forward.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -26,6 +26,8 @@
         Failure domains that operators have evacuated.
     shards, relayed : frozenset of str
         Services used as shards by gathering routes; services all of whose requests may be relayed.
+    started : float
+        Loop time in seconds at which this instance started.
     splits : dict
         Split of calls between versions, for services with a rollout.
     """
@@ -37,6 +39,7 @@
         self.services: dict[str, dict[str, Upstream]] = {}
         self.by_name: dict[str, Upstream] = {}
         self.budgets: dict[str, RepeatBudget] = {}
+        self.started = 0.0
         self.domains_out: frozenset[str] = frozenset()
         self.splits: dict[str, VersionSplit] = {}
         self.shares = FleetShares(Shares(), Shares())
@@ -55,6 +58,9 @@
         )
         for upstream in self.by_name.values():
             upstream.limits = self.limits_of(upstream.record.service)
+        for shard in self.shards:
+            # A budget must exist to record rises of its share.
+            self.budget(shard)
         self.apply_shares()
 
     def limits_of(self, service: str) -> ServiceLimits:
@@ -82,7 +88,7 @@
         for upstream in self.by_name.values():
             upstream.divisor = self.divisor(upstream.record.service)
         for service, budget in self.budgets.items():
-            budget.divisor = self.divisor(service)
+            budget.share.update(1.0 / self.divisor(service), now())
 
     def divisor(self, service: str) -> float:
         """Divisor that gives this instance's share of the limits of a service."""
@@ -96,8 +102,9 @@
         """Budget of retries and hedges to a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RepeatBudget(self.bounds)
-            budget.divisor = self.divisor(service)
+            share = WindowedShare(self.bounds.repeat_window, self.started)
+            share.update(1.0 / self.divisor(service), self.started)
+            budget = RepeatBudget(self.bounds, share)
             self.budgets[service] = budget
         return budget
 
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -21,6 +21,7 @@
 from mimosahoist.forward.delegation import (
     FAILED_SHARDS_HEADER,
     PENDING_SHARDS_HEADER,
+    REFUSED_SHARDS_HEADER,
     encode_shards,
 )
 from mimosahoist.forward.headers import end_to_end_headers
@@ -33,6 +34,7 @@
     Parts,
     RequestOutcome,
 )
+from mimosahoist.forward.relay import OFFERED_HEADER
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -226,9 +228,12 @@
             headers[header_names.part_signatures] = ", ".join(outcome.signatures)
             headers[PENDING_SHARDS_HEADER] = encode_shards(outcome.pending)
             headers[FAILED_SHARDS_HEADER] = encode_shards(outcome.failed)
+            headers[REFUSED_SHARDS_HEADER] = encode_shards(outcome.refused)
             self.write_response(STATUS_OK, headers, outcome.body)
         elif isinstance(outcome, NotRun):
             headers["Retry-After"] = f"{outcome.retry_after:.3f}"
+            if outcome.was_offered and self.frontend.dispatcher.serves_instances:
+                headers[OFFERED_HEADER] = "1"
             self.write_response(STATUS_UNAVAILABLE, headers, outcome.reason.encode())
         elif isinstance(outcome, Refusal):
             self.write_response(outcome.status, headers, outcome.reason.encode())
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -11,6 +11,7 @@
 from mimosahoist.forward.delegation import (
     FAILED_SHARDS_HEADER,
     PENDING_SHARDS_HEADER,
+    REFUSED_SHARDS_HEADER,
     decode_shards,
 )
 from mimosahoist.forward.engine import Availability, certainly_not_run
@@ -254,7 +255,7 @@
                 shard.calls.pop(task, None)
             self.changed.set()
         for shard in pending.values():
-            self.record_delegated_failure(shard, "", may_have_run)
+            self.record_delegated_failure(shard, "", may_have_run, may_have_run)
 
     def accept_update(
         self, answer: Answered, pending: dict[str, ShardSearch], task: asyncio.Task[None] | None
@@ -265,18 +266,23 @@
         """
         later = decode_shards(answer.headers.get(PENDING_SHARDS_HEADER, ""))
         failed = decode_shards(answer.headers.get(FAILED_SHARDS_HEADER, ""))
+        refused = decode_shards(answer.headers.get(REFUSED_SHARDS_HEADER, ""))
         done = [pending.pop(name) for name in list(pending) if name not in later]
         for shard in done:
             shard.calls.pop(task, None)
-        answered = [shard for shard in done if shard.service not in failed]
+        answered = [
+            shard for shard in done if shard.service not in failed and shard.service not in refused
+        ]
         if not self.accept_parts(answered, answer):
             for shard in answered:
-                self.record_delegated_failure(shard, "", True)
+                self.record_delegated_failure(shard, "", True, True)
         for shard in done:
-            if shard.service in failed:
-                self.record_delegated_failure(
-                    shard, failed[shard.service], bool(failed[shard.service])
-                )
+            if shard.service in refused:
+                self.engine.record_refusal(refused[shard.service])
+                self.record_delegated_failure(shard, "", True, False)
+            elif shard.service in failed:
+                upstream = failed[shard.service]
+                self.record_delegated_failure(shard, upstream, bool(upstream), bool(upstream))
         for name, shard in pending.items():
             shard.tried.add(later[name])
             if len(shard.calls) == 1:
@@ -285,13 +291,21 @@
         return any(shard.part is None for shard in pending.values()) and not self.past_deadline()
 
     def record_delegated_failure(
-        self, shard: ShardSearch, upstream: str, may_have_run: bool
+        self, shard: ShardSearch, upstream: str, was_sent: bool, may_have_run: bool
     ) -> None:
-        """Record a shard's failed call at the other instance, and replace it if needed."""
+        """Record a shard's failed call at the other instance, and replace it if needed.
+
+        Parameters
+        ----------
+        upstream : str
+            Upstream that may have run the call, or "".
+        was_sent : bool
+            Whether the call arrived at an upstream, so that its replacement is a repeat.
+        """
         shard.runs += may_have_run
         if upstream:
             shard.tried.add(upstream)
-        if not may_have_run:
+        if not was_sent:
             shard.sends -= 1
         if shard.part is None and not shard.calls and not self.past_deadline():
             self.send_replacement(shard)
@@ -344,7 +358,11 @@
         reason = f"no answer of {len(missing)} shards, {len(idle)} without a call: "
         reason += "; ".join(self.describe(shard) for shard in idle[:MAX_LOGGED_SHARDS])
         if not any(shard.runs or shard.calls or shard.part for shard in self.shards):
-            return NotRun(reason, self.engine.rng.uniform(*RETRY_AFTER_RANGE_SECONDS))
+            return NotRun(
+                reason,
+                self.engine.rng.uniform(*RETRY_AFTER_RANGE_SECONDS),
+                was_offered=any(shard.request_counted for shard in self.shards),
+            )
         return Failed(reason, timed_out=now() >= self.request.deadline)
 
     def describe(self, shard: ShardSearch) -> str:
--- a/libs/forward/src/mimosahoist/forward/health.py
+++ b/libs/forward/src/mimosahoist/forward/health.py
@@ -18,6 +18,9 @@
 TIMEOUT_EJECTION_SECONDS = 0.5
 MAX_EJECTION_SECONDS = 2.0
 FAILURES_BEFORE_EJECTION = 2
+REFUSAL_BACKOFF_SECONDS = 0.025
+MAX_REFUSAL_BACKOFF_SECONDS = 0.4
+REFUSAL_RATE_HALF_LIFE_SECONDS = 2.0
 
 
 class UpstreamHealth:
@@ -31,6 +34,8 @@
         Exponentially weighted share of recent calls that failed.
     ejected_until : float
         Loop time in seconds before which no calls are sent.
+    refuses_until : float
+        Loop time in seconds before which a call is likely to be refused again, as the last was.
     """
 
     def __init__(self) -> None:
@@ -38,6 +43,10 @@
         self.failure_rate = 0.0
         self.consecutive_failures = 0
         self.ejected_until = 0.0
+        self.consecutive_refusals = 0
+        self.refuses_until = 0.0
+        self.refusals = 0.0
+        self.refusals_updated_at = 0.0
 
     def record_latency_ratio(self, ratio: float) -> None:
         """Add one response time, as a multiple of the route's typical one."""
@@ -51,8 +60,12 @@
             failed = outcome.status >= 500
             self.consecutive_failures = 0
             self.ejected_until = 0.0
+            self.consecutive_refusals = 0
+            self.refuses_until = 0.0
+            self.update_refusal_rate(0.0, at)
         elif isinstance(outcome, Refused):
             failed = False
+            self.record_refusal(at)
         elif isinstance(outcome, Lost) and outcome.kind is LossKind.ABANDONED:
             return
         else:
@@ -61,6 +74,24 @@
             self.eject(outcome, at)
         self.failure_rate += FAILURE_SMOOTHING * (failed - self.failure_rate)
 
+    def record_refusal(self, at: float) -> None:
+        """Pause calls for a time that doubles with each refusal in a row."""
+        backoff = REFUSAL_BACKOFF_SECONDS * 2 ** min(self.consecutive_refusals, 8)
+        self.consecutive_refusals += 1
+        self.refuses_until = at + min(backoff, MAX_REFUSAL_BACKOFF_SECONDS)
+        self.update_refusal_rate(1.0, at)
+
+    def update_refusal_rate(self, refused: float, at: float) -> None:
+        """Add one call to the moving average of refusals."""
+        rate = self.refusal_rate(at)
+        self.refusals = rate + FAILURE_SMOOTHING * (refused - rate)
+        self.refusals_updated_at = at
+
+    def refusal_rate(self, at: float) -> float:
+        """Share of recent calls that were refused; decays with time, so that calls return."""
+        age = at - self.refusals_updated_at
+        return self.refusals * 0.5 ** (age / REFUSAL_RATE_HALF_LIFE_SECONDS)
+
     def eject(self, outcome: CallOutcome, at: float) -> None:
         """Stop calls for a time that doubles with each consecutive failure."""
         if isinstance(outcome, Unreached):
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -110,6 +110,7 @@
 
     async def start(self) -> None:
         """Start all components and listen."""
+        self.fleet.started = now()
         await self.store.start()
         await self.peers.start()
         await self.follower.start()
--- a/libs/forward/src/mimosahoist/forward/outcomes.py
+++ b/libs/forward/src/mimosahoist/forward/outcomes.py
@@ -86,12 +86,15 @@
     pending, failed : dict
         Shards with calls in flight, and shards whose calls failed since the last answer, each with
         the upstream that may have run the call, or "".
+    refused : dict
+        Shards whose calls an upstream refused since the last answer, each with that upstream.
     """
 
     body: bytes
     signatures: list[str]
     pending: dict[str, str]
     failed: dict[str, str]
+    refused: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -102,10 +105,14 @@
     ----------
     retry_after : float
         Seconds after which the caller should retry.
+    was_offered : bool
+        Whether upstreams were called, none of which ran the request. It is then counted in their
+        services' repeat budgets and must not be started afresh by another instance.
     """
 
     reason: str
     retry_after: float
+    was_offered: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -148,6 +148,7 @@
             return NotRun(
                 "no upstream accepted the request",
                 self.engine.rng.uniform(*RETRY_AFTER_RANGE_SECONDS),
+                was_offered=self.request_counted,
             )
         return Failed("no upstream answered", timed_out=now() >= self.request.deadline)
 
--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -21,6 +21,7 @@
     Gathered,
     LossKind,
     Lost,
+    NotRun,
     Refused,
     RequestOutcome,
 )
@@ -35,6 +36,8 @@
     from mimosahoist.forward.request import CallerRequest
 
 VERSION_HEADER = "X-Configuration-Version"
+# Present in a refusal if upstreams were called before; see `NotRun.was_offered`.
+OFFERED_HEADER = "X-Was-Offered"
 # Statuses that the other instance itself returns before it sends anything to an upstream.
 NOT_RUN_STATUSES = frozenset((400, 404, 408, 413, 421, 429, 431, 503))
 STATUS_GATEWAY_TIMEOUT = 504
@@ -68,7 +71,7 @@
         """Distinguish gathered and failed responses from refusals."""
         if not isinstance(outcome, Answered) or self.header_names.signature in outcome.headers:
             return outcome
-        if outcome.status in NOT_RUN_STATUSES:
+        if outcome.status in NOT_RUN_STATUSES and OFFERED_HEADER not in outcome.headers:
             return Refused(outcome.status)
         if outcome.is_success and self.header_names.part_signatures not in outcome.headers:
             return Lost(LossKind.MALFORMED)
@@ -152,7 +155,8 @@
         """Relay a request; None if no other instance has started it.
 
         A request that may have been started is not started again here, because shards would get
-        more than the route's attempts. An unresponsive instance is given up before the deadline,
+        more than the route's attempts. Nor is one whose calls the upstreams refused: its next first
+        calls would be repeats that no budget counts. An unresponsive instance is given up before the deadline,
         so that the caller has time to retry.
         """
         until = request.soft_deadline + RELAY_WAIT_SHARE * max(
@@ -183,6 +187,8 @@
             return Forwarded(answer)
         if not answer.is_success:
             reason = answer.body.decode(errors="replace")
+            if OFFERED_HEADER in answer.headers:
+                return NotRun(reason, float(answer.headers["Retry-After"]), was_offered=True)
             return Failed(reason, answer.status == STATUS_GATEWAY_TIMEOUT)
         header_names = self.engine.header_names
         signatures = [
--- a/libs/forward/src/mimosahoist/forward/relay_server.py
+++ b/libs/forward/src/mimosahoist/forward/relay_server.py
@@ -43,6 +43,7 @@
     """
 
     label = "relayed_request"
+    serves_instances = True
 
     def __init__(
         self,
--- a/libs/forward/src/mimosahoist/forward/repeat_budget.py
+++ b/libs/forward/src/mimosahoist/forward/repeat_budget.py
@@ -2,7 +2,7 @@
 
 The bound holds for the sum over all instances and for any window. Each instance earns repeats from
 the first sends of its own callers' requests, which needs no coordination; the fixed slack is
-divided among the instances. The margins cover an instance that underestimates their number.
+divided among the instances, so that no start, stop or change of roles exceeds it (`WindowedShare`).
 """
 
 from __future__ import annotations
@@ -12,17 +12,25 @@
 
 if TYPE_CHECKING:
     from mimosahoist.forward.declarations import SharedBounds
+    from mimosahoist.forward.shares import WindowedShare
 
 RATIO_MARGIN = 0.85
-SLACK_MARGIN = 0.6
+# Covers calls that are delayed on their way and so arrive in a later window.
+SLACK_MARGIN = 0.8
 
 
 class RepeatBudget:
-    """Sliding-window record of first and repeat sends to one service."""
+    """Sliding-window record of first and repeat sends to one service.
 
-    def __init__(self, bounds: SharedBounds) -> None:
+    Attributes
+    ----------
+    share : WindowedShare
+        This instance's share of the slack.
+    """
+
+    def __init__(self, bounds: SharedBounds, share: WindowedShare) -> None:
         self.bounds = bounds
-        self.divisor = 1.0
+        self.share = share
         self.first_sends: deque[float] = deque()
         self.repeat_sends: deque[float] = deque()
 
@@ -41,7 +49,7 @@
     def remaining(self, at: float) -> float:
         """Repeat sends that this instance may still make now."""
         self.expire(at)
-        slack = self.bounds.repeat_slack * SLACK_MARGIN / self.divisor
+        slack = self.bounds.repeat_slack * SLACK_MARGIN * self.share.value(at)
         earned = self.bounds.repeat_ratio * RATIO_MARGIN * len(self.first_sends)
         return earned + slack - len(self.repeat_sends)
 
--- a/libs/forward/src/mimosahoist/forward/shares.py
+++ b/libs/forward/src/mimosahoist/forward/shares.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import NamedTuple
 
 GATHERER_SHARE = 0.8
+# Time within which all instances know of a change of the membership or of the roles.
+CONVERGENCE_SECONDS = 2.0
 
 
 class Shares(NamedTuple):
@@ -41,3 +44,38 @@
 
     shards: Shares
     plain: Shares
+
+
+class WindowedShare:
+    """An instance's share of a limit that holds for any window of time.
+
+    A lower share applies at once, a higher one only after the window and the time in which the
+    instances agree on the division. What was spent under an earlier division has then left the
+    window, so the shares in use never add up to more than the whole. An instance that starts has
+    a share of zero before, since it does not know what it spent in an earlier life.
+
+    Parameters
+    ----------
+    window : float
+        Length of the window in seconds.
+    started : float
+        Loop time in seconds at which the instance started.
+    """
+
+    def __init__(self, window: float, started: float) -> None:
+        self.delay = window + CONVERGENCE_SECONDS
+        self.latest = 0.0
+        # Earlier shares, each with the loop time until which it still applies.
+        self.earlier: deque[tuple[float, float]] = deque([(started + self.delay, 0.0)])
+
+    def update(self, share: float, at: float) -> None:
+        """Set the share under the present division."""
+        if share != self.latest:
+            self.earlier.append((at + self.delay, self.latest))
+            self.latest = share
+
+    def value(self, at: float) -> float:
+        """Share that may be used now."""
+        while self.earlier and self.earlier[0][0] <= at:
+            self.earlier.popleft()
+        return min([self.latest, *(share for _, share in self.earlier)])
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -122,6 +122,8 @@
         """Whether another call may be sent now."""
         if self.removed or self.record.leaving or at < self.health.ejected_until:
             return False
+        if at < self.health.refuses_until:
+            return False
         if self.health.on_probation and self.in_flight:
             return False
         if len(self.in_flight) >= self.connection_limit:
@@ -142,6 +144,8 @@
                 f"ejected {self.health.ejected_until - at:.2f} s, "
                 f"streak {self.health.consecutive_failures}"
             )
+        if at < self.health.refuses_until:
+            return f"refuses {self.health.refuses_until - at:.2f} s"
         if self.cold(at):
             return f"cold {self.cold_until - at:.2f} s"
         return "open" if self.has_capacity(at) else f"full with {len(self.in_flight)}"
--- a/libs/forward/tests/fakes.py
+++ b/libs/forward/tests/fakes.py
@@ -26,6 +26,8 @@
 from mimosahoist.forward.upstream import Upstream
 
 HEADER_NAMES = HeaderNames()
+# Start of an instance that has its full share of all limits.
+LONG_AGO = -60.0
 Script = Callable[[int], tuple[float, CallOutcome | None]]
 
 
@@ -65,6 +67,7 @@
 
     def __init__(self, bounds: SharedBounds | None = None, domain: str = "a") -> None:
         self.fleet = UpstreamFleet(bounds or SharedBounds(), HEADER_NAMES)
+        self.fleet.started = LONG_AGO
         self.metrics = Metrics()
         self.engine = ForwardEngine(
             self.fleet, HEADER_NAMES, RecordMerger(), domain, self.metrics, random.Random(5)
--- a/libs/forward/tests/test_delegation.py
+++ b/libs/forward/tests/test_delegation.py
@@ -21,7 +21,7 @@
     encode_shards,
 )
 from mimosahoist.forward.dispatcher import Dispatcher
-from mimosahoist.forward.outcomes import Gathered
+from mimosahoist.forward.outcomes import Gathered, Refused
 from mimosahoist.forward.relay import RelayClient
 from mimosahoist.forward.routing import RouteTable
 from mimosahoist.forward.state_cache import StateCache
@@ -116,6 +116,19 @@
         self.assert_complete(await self.search())
         self.assertEqual(len(self.own.fleet.by_name["s2-b"].arrivals), 1)
 
+    async def test_call_that_an_upstream_refused_is_repeated_only_within_the_budget(self) -> None:
+        for slack, arrivals in ((0.0, 0), (1000.0, 1)):
+            with self.subTest(slack=slack):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                self.own.fleet.set_bounds(SharedBounds(repeat_ratio=0.0, repeat_slack=slack))
+                refusing = self.other.fixture.fleet.by_name["s2-a"]
+                refusing.script = lambda number: (0.01, Refused(503))
+                outcome = await self.search()
+                self.assertEqual(len(refusing.arrivals), 1)
+                self.assertEqual(self.own_arrivals("ab"), arrivals)
+                self.assertEqual(outcome.missing, 1 - arrivals)
+
     async def test_no_shard_exceeds_the_attempts_of_the_route(self) -> None:
         for upstream in self.other.fixture.fleet.by_name.values():
             upstream.script = lambda number: (0.01, answered("x", status=500))
--- a/libs/forward/tests/test_gather.py
+++ b/libs/forward/tests/test_gather.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 
 from fakes import HEADER_NAMES, EngineFixture, answered, fast_answers, gathering_route, plain_route
 
@@ -97,6 +98,22 @@
         outcome = await ScatterGather(fixture.engine, fixture.request(gathering_route(1))).run()
         self.assertIsInstance(outcome, Gathered)
 
+    async def test_refusing_upstream_is_called_again_at_growing_intervals(self) -> None:
+        fixture = EngineFixture(AMPLE_BUDGET)
+        refusing = fixture.add("s0", "a", lambda number: (0.001, Refused(503)))
+        await ScatterGather(fixture.engine, fixture.request(gathering_route(1))).run()
+        gaps = [later - at for at, later in pairwise(refusing.arrivals)]
+        self.assertGreater(min(gaps), 0.02)
+        self.assertLessEqual(len(refusing.arrivals), 10)
+
+    async def test_refused_call_goes_to_another_upstream_at_once(self) -> None:
+        fixture = EngineFixture(AMPLE_BUDGET)
+        fixture.add("s0", "a", lambda number: (0.001, Refused(503)))
+        fixture.add("s0", "b")
+        outcome = await ScatterGather(fixture.engine, fixture.request(gathering_route(1))).run()
+        self.assertEqual(outcome.missing, 0)
+        self.assertLess(now(), 0.03)
+
     async def test_search_without_upstreams_is_not_run(self) -> None:
         fixture = EngineFixture(AMPLE_BUDGET)
         outcome = await ScatterGather(fixture.engine, fixture.request(gathering_route())).run()
--- a/libs/forward/tests/test_relay.py
+++ b/libs/forward/tests/test_relay.py
@@ -16,7 +16,7 @@
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.front import CallerFrontend
 from mimosahoist.forward.gatherers import Gatherer
-from mimosahoist.forward.outcomes import Failed, Forwarded, Gathered
+from mimosahoist.forward.outcomes import Failed, Forwarded, Gathered, NotRun, Refused
 from mimosahoist.forward.relay import RelayClient
 from mimosahoist.forward.relay_server import RelayDispatcher
 from mimosahoist.forward.routing import RouteTable
@@ -165,6 +165,19 @@
         self.assertEqual(type(outcome), Failed)
         self.assertEqual((self.far.arrivals, self.own_arrivals), (0, 0))
 
+    async def test_request_that_upstreams_refused_is_not_started_elsewhere(self) -> None:
+        impatient = tuple(replace(route, timeout=0.2) for route in ROUTES)
+        self.near.dispatcher.state_cache.routes = RouteTable(Configuration(1, impatient))
+        for upstream in self.near.fixture.fleet.by_name.values():
+            upstream.script = lambda number: (0.01, Refused(503))
+        for target in ("/x/1", "/book/1"):
+            with self.subTest(target):
+                outcome = await self.search(target=target)
+                self.assertIsInstance(outcome, NotRun)
+                self.assertGreater(outcome.retry_after, 0.0)
+                self.assertTrue(self.near.arrivals)
+                self.assertEqual((self.far.arrivals, self.own_arrivals), (0, 0))
+
     async def test_unresponsive_instance_is_given_up_before_the_deadline(self) -> None:
         for upstream in self.near.fixture.fleet.by_name.values():
             upstream.script = lambda number: (5.0, None)
