Bound the memory for responses, one and all together

Cause: a response could grow to 64 MB, and each of many calls could hold one, on instances of 200 MB. An upstream that sends a body without end took 94 MB (peak of the process) before the call was lost. Interim responses without end were ended only by the interpreter's recursion limit.

Now a response is limited to 8 MiB, all together to 32 MiB (the largest gives way), at most 8 interim responses precede an answer, and the read buffer of a connection is 256 KiB.

--- a/libs/forward/src/mimosahoist/forward/connection.py
+++ b/libs/forward/src/mimosahoist/forward/connection.py
@@ -15,15 +15,21 @@
 
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.outcomes import Answered, LossKind, Lost
+from mimosahoist.forward.receive_buffers import MAX_RESPONSE_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from tornado.httputil import ResponseStartLine
 
+    from mimosahoist.forward.receive_buffers import ReceiveBuffers
+
 CONNECTION_PARAMETERS = HTTP1ConnectionParameters(
-    max_header_size=64 * 1024, max_body_size=64 * 1024 * 1024, decompress=False
+    max_header_size=64 * 1024, max_body_size=MAX_RESPONSE_BYTES, decompress=False
 )
+READ_BUFFER_BYTES = 256 * 1024
+# An upstream may announce its answer with a few 1xx responses.
+MAX_INTERIM_RESPONSES = 8
 TCP_USER_TIMEOUT_MILLISECONDS = 2000
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -42,22 +48,44 @@
 
 
 class ResponseCollector(HTTPMessageDelegate):
-    """Buffers a response until it is complete."""
+    """Buffers a response until it is complete.
+
+    Attributes
+    ----------
+    overflowed : bool
+        Whether the response was dropped because it is too large.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, stream: UpstreamStream, receive_buffers: ReceiveBuffers) -> None:
+        self.stream = stream
+        self.buffer = receive_buffers.open(self.drop)
+        self.overflowed = False
+        self.interim_responses = 0
         self.start_line: ResponseStartLine | None = None
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
         self.complete = False
 
     def headers_received(self, start_line: ResponseStartLine, headers: HTTPHeaders) -> None:
-        """Store the start line and headers."""
+        """Store the start line and headers; only the last of several responses counts."""
+        if start_line.code < 200:
+            self.interim_responses += 1
+            if self.interim_responses > MAX_INTERIM_RESPONSES:
+                self.drop()
+            return
         self.start_line = start_line
         self.headers = headers
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body."""
         self.chunks.append(chunk)
+        self.buffer.add(len(chunk))
+
+    def drop(self) -> None:
+        """Discard the response and close its connection."""
+        self.overflowed = True
+        self.chunks = []
+        self.stream.close()
 
     def finish(self) -> None:
         """Mark the response as complete."""
@@ -80,14 +108,22 @@
         Whether the connection must not be reused.
     """
 
-    def __init__(self, stream: UpstreamStream, on_close: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        stream: UpstreamStream,
+        on_close: Callable[[], None],
+        receive_buffers: ReceiveBuffers,
+    ) -> None:
         self.stream = stream
+        self.receive_buffers = receive_buffers
         self.on_close = on_close
         self.usable_until = now() + DEFAULT_KEEP_ALIVE_SECONDS
         self.closing = False
 
     @classmethod
-    async def open(cls, address: str, on_close: Callable[[], None]) -> UpstreamConnection:
+    async def open(
+        cls, address: str, on_close: Callable[[], None], receive_buffers: ReceiveBuffers
+    ) -> UpstreamConnection:
         """Open a connection.
 
         Parameters
@@ -96,6 +132,8 @@
             ``host:port``.
         on_close : callable
             Called when the connection closes while it is idle.
+        receive_buffers : ReceiveBuffers
+            Limits on the memory for responses.
 
         Raises
         ------
@@ -105,14 +143,14 @@
         host, _, port = address.rpartition(":")
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         configure_keepalive(raw)
-        stream = UpstreamStream(raw)
+        stream = UpstreamStream(raw, max_buffer_size=READ_BUFFER_BYTES)
         try:
             await stream.connect((host, int(port)))
         except BaseException:
             stream.close()
             raise
         stream.set_nodelay(True)
-        return cls(stream, on_close)
+        return cls(stream, on_close, receive_buffers)
 
     def usable(self, at: float) -> bool:
         """Whether the connection can be reused for another exchange."""
@@ -139,8 +177,22 @@
 
         Any failure closes the connection, since later bytes on it belong to no request.
         """
+        collector = ResponseCollector(self.stream, self.receive_buffers)
+        try:
+            return await self.exchange_into(collector, method, target, headers, body)
+        finally:
+            collector.buffer.close()
+
+    async def exchange_into(
+        self,
+        collector: ResponseCollector,
+        method: str,
+        target: str,
+        headers: HTTPHeaders,
+        body: bytes,
+    ) -> Answered | Lost:
+        """Send a request and collect its response."""
         started = now()
-        collector = ResponseCollector()
         http = HTTP1Connection(self.stream, True, CONNECTION_PARAMETERS)
         self.stream.set_close_callback(None)
         try:
@@ -149,7 +201,10 @@
             await http.read_response(collector)
         except StreamClosedError:
             self.close()
-            return Lost(LossKind.BROKEN)
+            return Lost(LossKind.MALFORMED if collector.overflowed else LossKind.BROKEN)
+        if collector.overflowed:
+            self.close()
+            return Lost(LossKind.MALFORMED)
         if not collector.complete or collector.start_line is None:
             self.close()
             malformed = collector.start_line is None
--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -7,6 +7,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import ServiceLimits
+from mimosahoist.forward.receive_buffers import ReceiveBuffers
 from mimosahoist.forward.repeat_budget import RepeatBudget
 from mimosahoist.forward.shares import FleetShares, Shares, WindowedShare
 from mimosahoist.forward.upstream import Upstream
@@ -40,6 +41,7 @@
         self.by_name: dict[str, Upstream] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.started = 0.0
+        self.receive_buffers = ReceiveBuffers()
         self.domains_out: frozenset[str] = frozenset()
         self.splits: dict[str, VersionSplit] = {}
         self.shares = FleetShares(Shares(), Shares())
@@ -127,7 +129,13 @@
             return
         if current is not None:
             self.remove(record.name, "restarted")
-        upstream = Upstream(record, self.limits_of(record.service), self.bounds, self.header_names)
+        upstream = Upstream(
+            record,
+            self.limits_of(record.service),
+            self.bounds,
+            self.header_names,
+            self.receive_buffers,
+        )
         upstream.divisor = self.divisor(record.service)
         self.by_name[record.name] = upstream
         self.services.setdefault(record.service, {})[record.name] = upstream
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/receive_buffers.py
@@ -0,0 +1,78 @@
+"""Limits on the memory for responses that are being received; does no I/O.
+
+A faulty upstream may send bytes without end. Each response is limited, and so is the sum over all
+responses: if it is exceeded the largest one is dropped, since that is the least likely to end.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_RESPONSE_BYTES = 8 << 20
+MAX_TOTAL_BYTES = 32 << 20
+
+
+class ReceiveBuffer:
+    """Size of one response that is being received."""
+
+    def __init__(self, buffers: ReceiveBuffers, drop: Callable[[], None]) -> None:
+        self.buffers = buffers
+        self.drop = drop
+        self.size = 0
+
+    def add(self, size: int) -> None:
+        """Count received bytes, and drop a response if a limit is exceeded."""
+        self.size += size
+        self.buffers.total += size
+        self.buffers.enforce(self)
+
+    def close(self) -> None:
+        """Stop counting the response, which is complete or dropped."""
+        self.buffers.total -= self.size
+        self.size = 0
+        self.buffers.open_buffers.discard(self)
+
+
+class ReceiveBuffers:
+    """Sizes of all responses that an instance is receiving.
+
+    Attributes
+    ----------
+    total : int
+        Number of bytes of all open buffers.
+    """
+
+    def __init__(
+        self, max_response_bytes: int = MAX_RESPONSE_BYTES, max_total_bytes: int = MAX_TOTAL_BYTES
+    ) -> None:
+        self.max_response_bytes = max_response_bytes
+        self.max_total_bytes = max_total_bytes
+        self.total = 0
+        self.open_buffers: set[ReceiveBuffer] = set()
+
+    def open(self, drop: Callable[[], None]) -> ReceiveBuffer:
+        """Start counting one response.
+
+        Parameters
+        ----------
+        drop : callable
+            Discards the response and closes its connection.
+        """
+        buffer = ReceiveBuffer(self, drop)
+        self.open_buffers.add(buffer)
+        return buffer
+
+    def enforce(self, grown: ReceiveBuffer) -> None:
+        """Drop a response that is too large, or the largest if all together are."""
+        if grown.size > self.max_response_bytes:
+            self.drop(grown)
+        elif self.total > self.max_total_bytes:
+            self.drop(max(self.open_buffers, key=lambda buffer: buffer.size))
+
+    def drop(self, buffer: ReceiveBuffer) -> None:
+        """Drop one response."""
+        buffer.close()
+        buffer.drop()
--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -59,7 +59,13 @@
             slots=CONNECTIONS_PER_TARGET,
         )
         limits = ServiceLimits("", connections=CONNECTIONS_PER_TARGET)
-        super().__init__(record, limits, engine.fleet.bounds, engine.header_names)
+        super().__init__(
+            record,
+            limits,
+            engine.fleet.bounds,
+            engine.header_names,
+            engine.fleet.receive_buffers,
+        )
 
     def request_headers(self, request: CallerRequest) -> HTTPHeaders:
         """Headers of a relayed request: those of an upstream call and the configuration version."""
@@ -156,8 +162,8 @@
 
         A request that may have been started is not started again here, because shards would get
         more than the route's attempts. Nor is one whose calls the upstreams refused: its next first
-        calls would be repeats that no budget counts. An unresponsive instance is given up before the deadline,
-        so that the caller has time to retry.
+        calls would be repeats that no budget counts. An unresponsive instance is given up before
+        the deadline, so that the caller has time to retry.
         """
         until = request.soft_deadline + RELAY_WAIT_SHARE * max(
             0.0, request.deadline - request.soft_deadline
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -19,6 +19,7 @@
     Refused,
     Unreached,
 )
+from mimosahoist.forward.receive_buffers import ReceiveBuffers
 
 if TYPE_CHECKING:
     from mimosahoist.forward.declarations import ServiceLimits, SharedBounds, UpstreamRecord
@@ -72,8 +73,10 @@
         limits: ServiceLimits,
         bounds: SharedBounds,
         header_names: HeaderNames,
+        receive_buffers: ReceiveBuffers | None = None,
     ) -> None:
         self.record = record
+        self.receive_buffers = receive_buffers or ReceiveBuffers()
         self.limits = limits
         self.bounds = bounds
         self.header_names = header_names
@@ -234,7 +237,9 @@
         self.open_connections += 1
         self.connections_opened += 1
         try:
-            return await UpstreamConnection.open(self.record.address, self.prune_idle)
+            return await UpstreamConnection.open(
+                self.record.address, self.prune_idle, self.receive_buffers
+            )
         except BaseException:
             self.open_connections -= 1
             raise
