Partition: end searches that wait for an unreachable domain, and say when and where to return

Ruled out: searches of the other domains; failures of some milliseconds at 36 to 37 s are retries of callers whose time was up when they connected.

A search, and a relayed request, now ends when no reachable call can complete it; the rejection gives the time until the load balancer's change and asks for a new connection. The log counted shards with calls in flight as 'without a call'; not mended yet.

--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -17,6 +17,7 @@
 from mimosahoist.forward.outcomes import Forwarded, Gathered, NotRun, Parts, RequestOutcome
 from mimosahoist.forward.plain import PlainForward
 from mimosahoist.forward.request import CallerRequest
+from mimosahoist.forward.return_time import return_to_another_instance
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
@@ -31,7 +32,6 @@
 
 NO_CONFIGURATION = NotRun("no configuration is known yet", 0.5)
 CRASHES_UPSTREAMS = NotRun("upstreams crash while running this request", 1.0)
-UPSTREAMS_UNREACHABLE = NotRun("too few upstreams are within reach of this instance", 0.05)
 CALLER_ROUND_TRIP_SECONDS = 0.008
 CALLER_DEADLINE_MARGIN_SECONDS = 0.01
 
@@ -92,12 +92,21 @@
         if not headers.get(self.header_names.request_id):
             return NO_REQUEST_ID
         if self.engine.reachability.unreachable_domains and not self.engine.is_reachable(route):
-            return UPSTREAMS_UNREACHABLE
+            return self.reject_unreachable()
         request = self.make_request(route, method, target, headers, body)
         if self.engine.crashes.records and self.engine.crashes.is_rejected(request.fingerprint):
             return CRASHES_UPSTREAMS
         return await self.execute(request)
 
+    def reject_unreachable(self) -> NotRun:
+        """Reject a request that too few upstreams within reach of this instance could serve."""
+        since = self.engine.reachability.unreachable_since
+        return NotRun(
+            "too few upstreams are within reach of this instance",
+            return_to_another_instance(since, now(), self.engine.rng),
+            elsewhere=True,
+        )
+
     async def execute(self, request: CallerRequest) -> RequestOutcome | Refusal:
         """Relay a request, or gather or forward it from this instance."""
         outcome = None
--- a/libs/forward/src/mimosahoist/forward/domain_reachability.py
+++ b/libs/forward/src/mimosahoist/forward/domain_reachability.py
@@ -12,6 +12,8 @@
 SILENCE_TIMEOUT_SECONDS = 1.2
 RETRY_INTERVAL_SECONDS = 8.0
 FAILURES_BEFORE_SUSPICION = 2
+# Time between two evaluations, and between two looks at their result by those that wait for answers.
+REACHABILITY_INTERVAL_SECONDS = 0.25
 
 
 class DomainContact:
@@ -31,12 +33,15 @@
     ----------
     unreachable_domains : frozenset of str
         Domains that appear to be partitioned from this instance.
+    unreachable_since : float
+        Loop time in seconds at which the first of them became unreachable; 0 if there is none.
     """
 
     def __init__(self, own_domain: str) -> None:
         self.own_domain = own_domain
         self.contacts: dict[str, DomainContact] = {}
         self.unreachable_domains: frozenset[str] = frozenset()
+        self.unreachable_since = 0.0
 
     def contact(self, domain: str, at: float) -> DomainContact:
         """Contact record of a domain, created on first use."""
@@ -72,6 +77,8 @@
             self.allow_retry(self.contacts[domain], at)
         if unreachable != self.unreachable_domains:
             json_log.info("domains out of reach", domains=sorted(unreachable))
+            if not self.unreachable_domains or not unreachable:
+                self.unreachable_since = at if unreachable else 0.0
             self.unreachable_domains = unreachable
 
     def allow_retry(self, contact: DomainContact, at: float) -> None:
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -118,6 +118,7 @@
             for upstream in self.fleet.eligible_upstreams(service)
             if not (upstream.removed or upstream.record.leaving)
             and upstream.record.failure_domain not in self.fleet.domains_out
+            and upstream.record.failure_domain not in self.reachability.unreachable_domains
         ]
         untried = [item for item in listed if item.record.name not in tried]
         if any(item.health.ejected_until <= at and item.responsive for item in untried):
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -232,6 +232,8 @@
             self.write_response(STATUS_OK, headers, outcome.body)
         elif isinstance(outcome, NotRun):
             headers["Retry-After"] = f"{outcome.retry_after:.3f}"
+            if outcome.elsewhere:
+                headers["Connection"] = "close"
             if outcome.was_offered and self.frontend.dispatcher.serves_instances:
                 headers[OFFERED_HEADER] = "1"
             self.write_response(STATUS_UNAVAILABLE, headers, outcome.reason.encode())
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -14,6 +14,7 @@
     REFUSED_SHARDS_HEADER,
     decode_shards,
 )
+from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
 from mimosahoist.forward.engine import Availability, certainly_not_run
 from mimosahoist.forward.outcomes import (
     Answered,
@@ -124,7 +125,7 @@
         for shard in self.shards:
             if shard.part is not None:
                 answered += 1
-            elif shard.calls:
+            elif self.has_reachable_call(shard):
                 pending += 1
             elif shard.runs < self.route.max_attempts:
                 availability = self.engine.availability(shard.service, shard.tried)
@@ -141,8 +142,16 @@
             self.request.deadline,
         )
 
+    def has_reachable_call(self, shard: ShardSearch) -> bool:
+        """Whether a call of a shard is in flight from which an answer can be expected."""
+        unreachable = self.engine.reachability.unreachable_domains
+        return any(
+            upstream.record.failure_domain not in unreachable for upstream in shard.calls.values()
+        )
+
     async def wait(self, until: float) -> None:
-        """Wait until a call ends, the next send is due, or `until`."""
+        """Wait until a call ends, the next send or the next look at reachability, or `until`."""
+        until = min(until, now() + REACHABILITY_INTERVAL_SECONDS)
         for shard in self.shards:
             if shard.part is None and shard.next_send > now():
                 until = min(until, shard.next_send)
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -12,6 +12,7 @@
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.delegation import Delegation
 from mimosahoist.forward.dispatcher import Dispatcher
+from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
 from mimosahoist.forward.engine import ForwardEngine
 from mimosahoist.forward.fleet import UpstreamFleet
 from mimosahoist.forward.follower import StoreFollower
@@ -43,7 +44,6 @@
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
 COUNTERS_INTERVAL_SECONDS = 10.0
-REACHABILITY_INTERVAL_SECONDS = 0.25
 
 
 class ForwardingInstance:
--- a/libs/forward/src/mimosahoist/forward/outcomes.py
+++ b/libs/forward/src/mimosahoist/forward/outcomes.py
@@ -108,11 +108,14 @@
     was_offered : bool
         Whether upstreams were called, none of which ran the request. It is then counted in their
         services' repeat budgets and must not be started afresh by another instance.
+    elsewhere : bool
+        Whether the caller should return on a new connection, which may reach another instance.
     """
 
     reason: str
     retry_after: float
     was_offered: bool = False
+    elsewhere: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import ServiceLimits, UpstreamRecord
+from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
 from mimosahoist.forward.engine import certainly_not_run
 from mimosahoist.forward.outcomes import (
     Answered,
@@ -170,7 +172,7 @@
         )
         until = min(request.deadline, max(until, now()))
         for target in self.candidates(request.route):
-            outcome = await target.call(request, until)
+            outcome = await self.call_while_reachable(target, request, until)
             self.record_outcome(target, outcome)
             if isinstance(outcome, Answered):
                 return self.decode(outcome)
@@ -179,6 +181,20 @@
                 return Failed(f"{target.record.name} gave no answer ({outcome})", timed_out)
         return None
 
+    async def call_while_reachable(
+        self, target: RelayTarget, request: CallerRequest, until: float
+    ) -> CallOutcome:
+        """Relay a request, and give it up once the target's domain is found to be unreachable."""
+        call = self.engine.tasks.spawn(target.call(request, until), "relayed request")
+        try:
+            while not call.done():
+                await asyncio.wait([call], timeout=REACHABILITY_INTERVAL_SECONDS)
+                if target.record.failure_domain in self.engine.reachability.unreachable_domains:
+                    return Lost(LossKind.TIMEOUT)
+            return call.result()
+        finally:
+            call.cancel()
+
     def record_outcome(self, target: RelayTarget, outcome: CallOutcome) -> None:
         """Count an outcome and update the reachability of the target's failure domain."""
         self.engine.metrics.count(f"relays_{type(outcome).__name__.lower()}")
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/return_time.py
@@ -0,0 +1,32 @@
+"""Decides when the callers of a rejected request should return; does no I/O.
+
+Answers the load of a network partition that cuts an instance off from upstreams that a route needs.
+The instance reports itself as not ready, but the load balancer sends it new connections until it
+has missed several checks. A caller that returns sooner is rejected by the same instance again, and
+callers retry only a few times.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+# The load balancer checks readiness once a second and reacts to the second miss.
+ROTATION_CHANGE_SECONDS = 2.2
+MIN_RETURN_SECONDS = 0.05
+# Callers that were rejected in the same moment return over this time.
+RETURN_SPREAD_SECONDS = 0.2
+
+
+def return_to_another_instance(unable_since: float, at: float, rng: random.Random) -> float:
+    """Seconds until a new connection of a caller reaches an instance that can serve it.
+
+    Parameters
+    ----------
+    unable_since : float
+        Loop time in seconds from which this instance has reported that it is not ready.
+    """
+    left = max(MIN_RETURN_SECONDS, unable_since + ROTATION_CHANGE_SECONDS - at)
+    return left + rng.uniform(0.0, RETURN_SPREAD_SECONDS)
--- a/libs/forward/tests/test_decisions.py
+++ b/libs/forward/tests/test_decisions.py
@@ -203,6 +203,21 @@
                 reachability.evaluate(2.0)
                 self.assertEqual("b" in reachability.unreachable_domains, unreachable)
 
+    def test_time_since_which_domains_are_unreachable(self) -> None:
+        reachability = DomainReachability("a")
+        for domain in "bc":
+            reachability.record_response(domain, 0.0)
+            reachability.record_peer_contact(domain, 0.0)
+        for at, failing in ((2.0, "b"), (3.0, "c")):
+            for _ in range(2):
+                reachability.record_failure(failing, at)
+            reachability.evaluate(at)
+            self.assertEqual(reachability.unreachable_since, 2.0)
+        for domain in "bc":
+            reachability.record_response(domain, 4.0)
+        reachability.evaluate(4.0)
+        self.assertEqual(reachability.unreachable_since, 0.0)
+
     def test_domain_is_reachable_again_once_a_peer_is_heard(self) -> None:
         reachability = DomainReachability("a")
         reachability.record_peer_contact("b", 0.0)
--- a/libs/forward/tests/test_endless_responses.py
+++ b/libs/forward/tests/test_endless_responses.py
@@ -69,7 +69,7 @@
                 self.sent += len(piece)
                 await writer.drain()
                 await asyncio.sleep(0)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             self.stopped += 1
--- a/libs/forward/tests/test_gather.py
+++ b/libs/forward/tests/test_gather.py
@@ -114,6 +114,18 @@
         self.assertEqual(outcome.missing, 0)
         self.assertLess(now(), 0.03)
 
+    async def test_search_ends_once_the_shards_it_lacks_are_found_unreachable(self) -> None:
+        fixture = EngineFixture(AMPLE_BUDGET)
+        for number in range(10):
+            domain = "b" if number < 5 else "a"
+            fixture.add(f"s{number}", domain, (lambda n: (9.0, None)) if domain == "b" else None)
+        search = ScatterGather(fixture.engine, fixture.request(gathering_route()))
+        task = asyncio.create_task(search.run())
+        await asyncio.sleep(0.5)
+        fixture.engine.reachability.unreachable_domains = frozenset("b")
+        self.assertIsInstance(await task, Failed)
+        self.assertLess(now(), 0.8)
+
     async def test_search_without_upstreams_is_not_run(self) -> None:
         fixture = EngineFixture(AMPLE_BUDGET)
         outcome = await ScatterGather(fixture.engine, fixture.request(gathering_route())).run()
--- a/libs/forward/tests/test_relay.py
+++ b/libs/forward/tests/test_relay.py
@@ -178,6 +178,15 @@
                 self.assertTrue(self.near.arrivals)
                 self.assertEqual((self.far.arrivals, self.own_arrivals), (0, 0))
 
+    async def test_request_ends_once_the_other_domain_is_found_unreachable(self) -> None:
+        for upstream in self.near.fixture.fleet.by_name.values():
+            upstream.script = lambda number: (5.0, None)
+        task = asyncio.create_task(self.search(left=60000))
+        while not self.near.arrivals:
+            await asyncio.sleep(0.01)
+        self.own.engine.reachability.unreachable_domains = frozenset("a")
+        self.assertIsInstance(await asyncio.wait_for(task, 0.7), Failed)
+
     async def test_unresponsive_instance_is_given_up_before_the_deadline(self) -> None:
         for upstream in self.near.fixture.fleet.by_name.values():
             upstream.script = lambda number: (5.0, None)
