A call that fails after the end of its search is not replaced; logs on standard output

Cause: run() of a search or a plain request ends while calls are in flight for up to 0.4 s. If one of them then failed, its replacement was sent for nobody, was never cancelled, and cost a repeat. Found on reading, from the question why only one of three failed calls was logged.

The log: every failed call has its line, also after the end of the search; a failed search tells how many shards are missing; shards without a call are counted apart from those in flight. Lines went to standard error after a warning of absl's that is no JSON; now they are on standard output.

--- a/libs/core/src/mimosahoist/core/json_log.py
+++ b/libs/core/src/mimosahoist/core/json_log.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import msgspec
-from absl import logging
+from absl import flags, logging
 
 LOG_LINES_PER_SECOND = 100.0
 LOG_BURST_LINES = 400.0
@@ -72,6 +72,8 @@
 
 def configure(instance: str) -> None:
     """Write JSON lines of level info and above to standard output, at a limited rate."""
+    # The command line is parsed by argparse; absl would print a warning until its flags are parsed.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.python_handler.stream = sys.stdout
--- a/libs/core/tests/test_json_log.py
+++ b/libs/core/tests/test_json_log.py
@@ -1,8 +1,11 @@
-"""Rate limit of log lines."""
+"""Rate limit of log lines, and the stream that they are written to."""
 
 from __future__ import annotations
 
+import json
 import logging
+import subprocess
+import sys
 import unittest
 
 from mimosahoist.core.json_log import LogRateLimiter
@@ -14,6 +17,24 @@
     return record
 
 
+LOGGING_PROGRAM = """
+from mimosahoist.core import json_log
+json_log.configure("instance-1")
+json_log.info("started", port=80)
+"""
+
+
+class OutputTest(unittest.TestCase):
+    def test_each_line_on_standard_output_is_json_and_nothing_else_is_written(self) -> None:
+        completed = subprocess.run(
+            [sys.executable, "-c", LOGGING_PROGRAM], capture_output=True, check=True, text=True
+        )
+        (line,) = completed.stdout.splitlines()
+        fields = json.loads(line)
+        self.assertEqual((fields["event"], fields["port"]), ("started", 80))
+        self.assertEqual(completed.stderr, "")
+
+
 class LogRateLimiterTest(unittest.TestCase):
     def test_rate_is_bounded_and_drops_are_reported(self) -> None:
         limiter = LogRateLimiter(rate=10.0, burst=5.0)
--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -149,12 +149,7 @@
         name = type(outcome).__name__.lower()
         self.metrics.count(f"{self.label}s_{name}")
         self.metrics.latency(f"{self.label}_{name}").record(elapsed)
-        complete = isinstance(outcome, Gathered) and not outcome.missing
-        if (
-            complete
-            or isinstance(outcome, Parts)
-            or (isinstance(outcome, Forwarded) and outcome.answer.is_success)
-        ):
+        if is_complete_success(outcome):
             return
         json_log.info(
             f"{self.label} ended",
--- a/libs/forward/src/mimosahoist/forward/domain_reachability.py
+++ b/libs/forward/src/mimosahoist/forward/domain_reachability.py
@@ -12,7 +12,7 @@
 SILENCE_TIMEOUT_SECONDS = 1.2
 RETRY_INTERVAL_SECONDS = 8.0
 FAILURES_BEFORE_SUSPICION = 2
-# Time between two evaluations, and between two looks at their result by those that wait for answers.
+# Time between two evaluations, and until those that wait for answers notice the result.
 REACHABILITY_INTERVAL_SECONDS = 0.25
 
 
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -98,6 +98,7 @@
         self.changed = asyncio.Event()
         self.soft_cutoff = request.soft_deadline - SOFT_DEADLINE_MARGIN_SECONDS
         self.hedged_services: list[str] = []
+        self.ended = False
 
     async def run(self) -> RequestOutcome:
         """Run the search until `decide` ends it."""
@@ -218,8 +219,8 @@
             return
         if not certainly_not_run(outcome):
             shard.runs += 1
-        if shard.part is None and not self.past_deadline():
-            self.log_failed_call(shard, upstream, outcome)
+        self.log_failed_call(shard, upstream, outcome)
+        if shard.part is None and not self.is_over:
             if isinstance(outcome, Refused):
                 shard.tried.discard(upstream.record.name)
             if not shard.calls:
@@ -297,7 +298,7 @@
             if len(shard.calls) == 1:
                 shard.next_send = min(shard.next_send, now())
         self.changed.set()
-        return any(shard.part is None for shard in pending.values()) and not self.past_deadline()
+        return any(shard.part is None for shard in pending.values()) and not self.is_over
 
     def record_delegated_failure(
         self, shard: ShardSearch, upstream: str, was_sent: bool, may_have_run: bool
@@ -316,7 +317,7 @@
             shard.tried.add(upstream)
         if not was_sent:
             shard.sends -= 1
-        if shard.part is None and not shard.calls and not self.past_deadline():
+        if shard.part is None and not shard.calls and not self.is_over:
             self.send_replacement(shard)
 
     def accept_parts(self, shards: list[ShardSearch], answer: Answered) -> bool:
@@ -339,12 +340,14 @@
         if not self.send(shard):
             shard.next_send = now() + CAPACITY_RETRY_SECONDS
 
-    def past_deadline(self) -> bool:
-        """Whether the deadline has passed, after which no caller waits for parts."""
-        return now() >= self.request.deadline
+    @property
+    def is_over(self) -> bool:
+        """Whether the search has ended or its deadline has passed, so that no part is needed."""
+        return self.ended or now() >= self.request.deadline
 
     def cancel_outstanding(self) -> None:
         """Cancel calls whose parts are no longer needed, after a grace period."""
+        self.ended = True
         loop = asyncio.get_running_loop()
         for shard in self.shards:
             for task, upstream in shard.calls.items():
@@ -363,16 +366,17 @@
             signatures = [signature for part in parts for signature in part.signatures]
             return Gathered(body, signatures, len(self.shards) - len(parts))
         missing = [shard for shard in self.shards if shard.part is None]
-        idle = [shard for shard in missing if not shard.calls] or missing
+        idle = [shard for shard in missing if not shard.calls]
         reason = f"no answer of {len(missing)} shards, {len(idle)} without a call: "
-        reason += "; ".join(self.describe(shard) for shard in idle[:MAX_LOGGED_SHARDS])
+        described = (idle or missing)[:MAX_LOGGED_SHARDS]
+        reason += "; ".join(self.describe(shard) for shard in described)
         if not any(shard.runs or shard.calls or shard.part for shard in self.shards):
             return NotRun(
                 reason,
                 self.engine.rng.uniform(*RETRY_AFTER_RANGE_SECONDS),
                 was_offered=any(shard.request_counted for shard in self.shards),
             )
-        return Failed(reason, timed_out=now() >= self.request.deadline)
+        return Failed(reason, now() >= self.request.deadline, len(missing))
 
     def describe(self, shard: ShardSearch) -> str:
         """Explain for the log why a shard has no call in flight."""
--- a/libs/forward/src/mimosahoist/forward/outcomes.py
+++ b/libs/forward/src/mimosahoist/forward/outcomes.py
@@ -120,10 +120,17 @@
 
 @dataclass(frozen=True)
 class Failed:
-    """No answer is available, and the request may have run."""
+    """No answer is available, and the request may have run.
+
+    Attributes
+    ----------
+    missing : int
+        Number of shards without a part; 0 for a plain request.
+    """
 
     reason: str
     timed_out: bool = False
+    missing: int = 0
 
 
 @dataclass(frozen=True)
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -58,6 +58,7 @@
         self.runs = 0
         self.sends = 0
         self.request_counted = False
+        self.ended = False
 
     async def run(self) -> RequestOutcome:
         """Forward until there is an answer or no further attempt is possible."""
@@ -123,8 +124,9 @@
             self.runs += 1
         if isinstance(outcome, Answered):
             self.accept_answer(outcome)
-        if self.answer is None and now() < self.request.deadline:
+        if not isinstance(outcome, Answered) or not outcome.is_success:
             self.log_failed_call(upstream, outcome)
+        if self.answer is None and not self.ended and now() < self.request.deadline:
             self.send()
 
     def accept_answer(self, answer: Answered) -> None:
@@ -136,6 +138,7 @@
 
     def cancel_outstanding(self) -> None:
         """Cancel calls whose answers are no longer needed, after a grace period."""
+        self.ended = True
         for task in self.calls:
             asyncio.get_running_loop().call_later(SUPERSEDED_CALL_GRACE_SECONDS, task.cancel)
 
--- a/libs/forward/tests/test_gather.py
+++ b/libs/forward/tests/test_gather.py
@@ -126,6 +126,23 @@
         self.assertIsInstance(await task, Failed)
         self.assertLess(now(), 0.8)
 
+    async def test_call_that_fails_after_the_end_of_its_search_is_not_replaced(self) -> None:
+        for ends in ("answered", "caller left"):
+            with self.subTest(ends):
+                fixture = self.make_fixture(4)
+                fixture.add("s0", "a", lambda number: (0.3, Refused(503)))
+                others = [fixture.add("s0", domain) for domain in "bc"]
+                fixture.fleet.set_bounds(SharedBounds(repeat_ratio=0.0, repeat_slack=0.0))
+                search = ScatterGather(fixture.engine, fixture.request(gathering_route(4)))
+                task = asyncio.create_task(search.run())
+                await asyncio.sleep(0.16)
+                if ends == "caller left":
+                    task.cancel()
+                fixture.fleet.set_bounds(AMPLE_BUDGET)
+                await asyncio.wait([task])
+                await asyncio.sleep(2.0)
+                self.assertEqual([upstream.arrivals for upstream in others], [[], []])
+
     async def test_search_without_upstreams_is_not_run(self) -> None:
         fixture = EngineFixture(AMPLE_BUDGET)
         outcome = await ScatterGather(fixture.engine, fixture.request(gathering_route())).run()
--- a/libs/forward/tests/test_plain.py
+++ b/libs/forward/tests/test_plain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from fakes import EngineFixture, answered, plain_route
 
 from mimosahoist.core.tasks import now
@@ -25,6 +27,17 @@
 
 
 class PlainForwardTest(PausedTestCase):
+    async def test_call_that_fails_after_its_caller_left_is_not_replaced(self) -> None:
+        fixture = EngineFixture(AMPLE_BUDGET)
+        fixture.add("desk", "a", lambda number: (0.2, Refused(503)))
+        other = fixture.add("desk", "b")
+        forward = PlainForward(fixture.engine, fixture.request(plain_route()))
+        task = asyncio.create_task(forward.run())
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.sleep(2.0)
+        self.assertEqual(other.arrivals, [])
+
     async def forward(self, fixture: EngineFixture, kind: RouteKind) -> object:
         return await PlainForward(fixture.engine, fixture.request(plain_route(kind))).run()
 
