--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -29,6 +29,9 @@
 PEER_STATE_WAIT_SECONDS = 0.8
 PEER_STATE_POLL_SECONDS = 0.05
 TURN_POLL_SECONDS = 0.1
+# Number of instances that take turns, so that the time between two checks, and each one's share of
+# them, depend neither on the number of instances nor on how long ago they started.
+MAX_CHECKERS = 8
 
 
 class PeerView(ABC):
@@ -42,6 +45,10 @@
     def alive_count(self) -> int:
         """Number of instances that answer probes, including this one."""
 
+    @abstractmethod
+    def rank(self) -> int:
+        """Number of live instances before this one in an order that all instances agree on."""
+
     @abstractmethod
     def is_store_watcher(self) -> bool:
         """Whether this instance watches the store on behalf of all."""
@@ -59,10 +66,10 @@
 
     Entries that expired during a store outage may be registered again, so a missing entry counts
     as removed only some time after the store recovers. A watch may deliver nothing for seconds
-    while changes are made, so the instances take turns to check the store's revision and list what
-    the watches missed.
+    while changes are made, so some instances take turns to check the store's revision and list
+    what the watches missed.
 
-    Only some instances watch; the others receive changes from them, and take part in the checks.
+    Only some instances watch; the others receive changes from them.
     At start most instances first wait for their peers' state, so that the number of store calls
     does not grow with the number of instances that start together.
 
@@ -199,18 +206,26 @@
         for listener in self.synced_listeners:
             listener(self.revisions.known_through)
 
-    async def wait_for_turn(self) -> None:
-        """Wait for the time in which every live instance makes one check."""
+    async def wait_for_turn(self, part: float) -> None:
+        """Wait for part of the time in which each checker makes one check."""
         started = now()
-        interval = self.rng.uniform(0.6, 1.4) * CHECK_INTERVAL_SECONDS
-        while now() - started < interval * self.peer_view.alive_count():
+        while True:
+            checkers = min(MAX_CHECKERS, self.peer_view.alive_count())
+            elapsed = now() - started
+            if self.peer_view.rank() < checkers and (
+                elapsed >= part * checkers * CHECK_INTERVAL_SECONDS
+            ):
+                return
             await asyncio.sleep(TURN_POLL_SECONDS)
 
     async def check_for_missed_changes(self) -> None:
         """Periodically check whether the store has changes that were not delivered."""
         await self.wait_for_peer_state()
+        # Instances that start together spread their first checks like the later ones.
+        part = self.rng.uniform(0.0, 1.0)
         while True:
-            await self.wait_for_turn()
+            await self.wait_for_turn(part)
+            part = self.rng.uniform(0.6, 1.4)
             try:
                 await self.list_missed_changes()
             except Problem as problem:
--- a/libs/forward/src/mimosahoist/forward/gathering.py
+++ b/libs/forward/src/mimosahoist/forward/gathering.py
@@ -128,7 +128,7 @@
             if domain not in self.fleet.domains_out
         }
 
-    def select(self, names: set[str], domains: int) -> dict[str, list[Gatherer]]:
+    def select(self, names: Set[str], domains: int) -> dict[str, list[Gatherer]]:
         """Instances among `names` that serve for others, by failure domain."""
         return select_gatherers(self.peers.advertised_gatherers(names), self.max_gatherers(domains))
 
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -17,13 +17,13 @@
 from mimosahoist.forward.rollout import Rollout
 from mimosahoist.peers.exchange import Identity, PeerExchange
 from mimosahoist.peers.facts import FactKind, FactTable
-from mimosahoist.peers.members import MemberState
+from mimosahoist.peers.members import MEMBER_PREFIX, MemberState
 from mimosahoist.platform.versioned import VersionedCopy
 from mimosahoist.platform.watched import WatchedItem, WatchedKind
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Set
 
     from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.instance_settings import InstanceSettings
@@ -142,6 +142,9 @@
             list(settings.peer_seeds),
             PUSH_INTERVAL_SECONDS,
         )
+        self.cached_alive_version = -1
+        self.cached_alive = frozenset((settings.name,))
+        self.cached_rank = 0
         capacity = settings.capacity if settings.relay_address else 0.0
         self.advertised: tuple[float, str] = (capacity, settings.relay_address)
         self.member_listeners: list[Callable[[], None]] = []
@@ -173,7 +176,7 @@
         if key == GATHERER_PREFIX + self.name and tuple(value[1:]) != self.advertised:
             self.advertise(*self.advertised)
 
-    def advertised_gatherers(self, names: set[str]) -> list[Gatherer]:
+    def advertised_gatherers(self, names: Set[str]) -> list[Gatherer]:
         """Advertised gatherers among the members in `names`."""
         members = self.exchange.members()
         gatherers = []
@@ -195,14 +198,25 @@
         """Number of instances that answer probes, including this one."""
         return len(self.alive_names())
 
-    def alive_names(self) -> set[str]:
+    def alive_names(self) -> frozenset[str]:
         """Names of the instances that answer probes, including this one."""
+        self.update_alive()
+        return self.cached_alive
+
+    def update_alive(self) -> None:
+        """Recompute which instances are alive, and this one's rank, if the membership changed."""
+        version = self.fact_table.changes[MEMBER_PREFIX]
+        if version == self.cached_alive_version:
+            return
+        self.cached_alive_version = version
         alive = {
             name
             for name, member in self.exchange.members().items()
             if member.state == MemberState.ALIVE
         }
-        return alive | {self.name}
+        self.cached_alive = frozenset(alive | {self.name})
+        own = hash_text(self.name)
+        self.cached_rank = sum(hash_text(name) > own for name in self.cached_alive)
 
     def reads_store_at_start(self) -> bool:
         """Whether this instance is a seed of the others, or has no seeds to get state from."""
@@ -220,8 +234,8 @@
 
     def rank(self) -> int:
         """Number of live instances before this one in rendezvous order."""
-        own_rank = hash_text(self.name)
-        return sum(hash_text(name) > own_rank for name in self.alive_names())
+        self.update_alive()
+        return self.cached_rank
 
     @property
     def name(self) -> str:
