--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -3,17 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.completion import Progress, Verdict, decide, required_parts
-from mimosahoist.forward.delegation import (
-    FAILED_SHARDS_HEADER,
-    PENDING_SHARDS_HEADER,
-    REFUSED_SHARDS_HEADER,
-    decode_shards,
-)
+from mimosahoist.forward.delegated_gather import DelegatedGather
 from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
 from mimosahoist.forward.engine import Availability, certainly_not_run
 from mimosahoist.forward.outcomes import (
@@ -26,16 +21,16 @@
     RequestOutcome,
     Unreached,
 )
+from mimosahoist.forward.shard_search import Part, ShardSearch
 
 if TYPE_CHECKING:
-    from mimosahoist.forward.delegation import Delegate, Delegation
+    from mimosahoist.forward.delegation import Delegation
     from mimosahoist.forward.engine import ForwardEngine
     from mimosahoist.forward.request import CallerRequest
     from mimosahoist.forward.upstream import Upstream
 
 # Reserved before the soft deadline for returning the answer to the caller.
 SOFT_DEADLINE_MARGIN_SECONDS = 0.008
-DELEGATION_ROUND_TRIP_SECONDS = 0.02
 # Cancelling a call closes its connection, so calls that are no longer needed get time to end.
 SUPERSEDED_CALL_GRACE_SECONDS = 0.4
 DELEGATED_CALL_GRACE_SECONDS = 0.1
@@ -44,41 +39,6 @@
 RETRY_AFTER_RANGE_SECONDS = (0.05, 0.25)
 
 
-class Part(NamedTuple):
-    """Contribution of one shard to the merged answer.
-
-    For shards whose parts arrive merged in one answer, the first one holds all records and
-    signatures, and the others are empty.
-    """
-
-    body: bytes
-    signatures: list[str]
-
-
-class ShardSearch:
-    """State of one shard within a search.
-
-    Attributes
-    ----------
-    runs : int
-        Failed calls that may have run.
-    request_counted : bool
-        Whether the request is counted in the service's repeat budget.
-    next_send : float
-        Loop time in seconds of the next hedge or retry.
-    """
-
-    def __init__(self, service: str) -> None:
-        self.service = service
-        self.part: Part | None = None
-        self.calls: dict[asyncio.Task[None], Upstream] = {}
-        self.tried: set[str] = set()
-        self.runs = 0
-        self.sends = 0
-        self.request_counted = False
-        self.next_send = 0.0
-
-
 class ScatterGather:
     """Sends a request to one upstream of each shard and merges the parts.
 
@@ -94,6 +54,7 @@
         self.request = request
         self.route = request.route
         self.shards = [ShardSearch(service) for service in self.route.shards]
+        self.unanswered = list(self.shards)
         self.required = required_parts(len(self.shards), self.route.min_coverage)
         self.changed = asyncio.Event()
         self.soft_cutoff = request.soft_deadline - SOFT_DEADLINE_MARGIN_SECONDS
@@ -103,7 +64,8 @@
     async def run(self) -> RequestOutcome:
         """Run the search until `decide` ends it."""
         delay = self.engine.timing(self.route).hedge_delay(self.soft_cutoff - now())
-        self.delegate(delay)
+        if self.delegation is not None:
+            DelegatedGather(self, self.delegation).start(delay)
         for shard in self.shards:
             if not shard.calls:
                 sent = self.send(shard)
@@ -122,18 +84,17 @@
 
     def progress(self) -> Progress:
         """Snapshot of all shards, for `decide`."""
-        answered = pending = uncertain = 0
-        for shard in self.shards:
-            if shard.part is not None:
-                answered += 1
-            elif self.has_reachable_call(shard):
+        pending = uncertain = 0
+        missing = self.missing_shards()
+        for shard in missing:
+            if self.has_reachable_call(shard):
                 pending += 1
             elif shard.runs < self.route.max_attempts:
                 availability = self.engine.availability(shard.service, shard.tried)
                 pending += availability is Availability.SOON
                 uncertain += availability is Availability.UNCERTAIN
         return Progress(
-            answered,
+            len(self.shards) - len(missing),
             pending,
             uncertain,
             len(self.shards),
@@ -143,19 +104,28 @@
             self.request.deadline,
         )
 
+    def missing_shards(self) -> list[ShardSearch]:
+        """Shards without a part."""
+        # A shard that has a part keeps one, so that later calls need not look at it again.
+        self.unanswered = [shard for shard in self.unanswered if shard.part is None]
+        return self.unanswered
+
     def has_reachable_call(self, shard: ShardSearch) -> bool:
         """Whether a call of a shard is in flight from which an answer can be expected."""
         unreachable = self.engine.reachability.unreachable_domains
+        if not unreachable:
+            return bool(shard.calls)
         return any(
             upstream.record.failure_domain not in unreachable for upstream in shard.calls.values()
         )
 
     async def wait(self, until: float) -> None:
         """Wait until a call ends, the next send or the next look at reachability, or `until`."""
-        until = min(until, now() + REACHABILITY_INTERVAL_SECONDS)
-        for shard in self.shards:
-            if shard.part is None and shard.next_send > now():
-                until = min(until, shard.next_send)
+        at = now()
+        until = min(until, at + REACHABILITY_INTERVAL_SECONDS)
+        for shard in self.unanswered:
+            if at < shard.next_send < until:
+                until = shard.next_send
         try:
             async with asyncio.timeout_at(until):
                 await self.changed.wait()
@@ -166,8 +136,8 @@
     def send_due(self) -> None:
         """Hedge overdue calls, and retry shards for which no upstream had capacity."""
         at = now()
-        for shard in self.shards:
-            if shard.part is None and at >= shard.next_send:
+        for shard in self.missing_shards():
+            if at >= shard.next_send:
                 if shard.calls:
                     self.engine.record_overdue(shard.calls.values())
                     if self.send(shard):
@@ -228,113 +198,6 @@
             else:
                 self.send(shard)
 
-    def delegate(self, delay: float) -> None:
-        """Delegate first calls of shards this failure domain lacks to domains that hold them."""
-        if self.delegation is None:
-            return
-        by_name = {shard.service: shard for shard in self.shards}
-        for delegate in self.delegation.assign_delegates(list(by_name)):
-            group = [by_name[name] for name in delegate.shards]
-            task = self.engine.tasks.spawn(
-                self.call_delegate(delegate, group, delay), "call delegate"
-            )
-            for shard in group:
-                self.count_request(shard)
-                shard.sends = 1
-                shard.calls[task] = delegate.target
-                shard.next_send = now() + delay + DELEGATION_ROUND_TRIP_SECONDS
-
-    async def call_delegate(
-        self, delegate: Delegate, group: list[ShardSearch], delay: float
-    ) -> None:
-        """Collect the parts that another instance fetches, polling for those still pending."""
-        task = asyncio.current_task()
-        pending = {shard.service: shard for shard in group}
-        outcome: CallOutcome = Unreached("cancelled")
-        may_have_run = False
-        try:
-            outcome = await self.delegation.fetch_parts(delegate, self.request, delay, first=True)
-            may_have_run = not certainly_not_run(outcome)
-            while isinstance(outcome, Answered) and self.accept_update(outcome, pending, task):
-                left = self.request.deadline - now()
-                outcome = await self.delegation.fetch_parts(
-                    delegate, self.request, left, first=False
-                )
-        finally:
-            for shard in pending.values():
-                shard.calls.pop(task, None)
-            self.changed.set()
-        for shard in pending.values():
-            self.record_delegated_failure(shard, "", may_have_run, may_have_run)
-
-    def accept_update(
-        self, answer: Answered, pending: dict[str, ShardSearch], task: asyncio.Task[None] | None
-    ) -> bool:
-        """Process an answer of the other instance; return whether to poll again.
-
-        Shards that the other instance has finished are removed from `pending`.
-        """
-        later = decode_shards(answer.headers.get(PENDING_SHARDS_HEADER, ""))
-        failed = decode_shards(answer.headers.get(FAILED_SHARDS_HEADER, ""))
-        refused = decode_shards(answer.headers.get(REFUSED_SHARDS_HEADER, ""))
-        done = [pending.pop(name) for name in list(pending) if name not in later]
-        for shard in done:
-            shard.calls.pop(task, None)
-        answered = [
-            shard for shard in done if shard.service not in failed and shard.service not in refused
-        ]
-        if not self.accept_parts(answered, answer):
-            for shard in answered:
-                self.record_delegated_failure(shard, "", True, True)
-        for shard in done:
-            if shard.service in refused:
-                self.engine.record_refusal(refused[shard.service])
-                self.record_delegated_failure(shard, "", True, False)
-            elif shard.service in failed:
-                upstream = failed[shard.service]
-                self.record_delegated_failure(shard, upstream, bool(upstream), bool(upstream))
-        for name, shard in pending.items():
-            shard.tried.add(later[name])
-            if len(shard.calls) == 1:
-                shard.next_send = min(shard.next_send, now())
-        self.changed.set()
-        return any(shard.part is None for shard in pending.values()) and not self.is_over
-
-    def record_delegated_failure(
-        self, shard: ShardSearch, upstream: str, was_sent: bool, may_have_run: bool
-    ) -> None:
-        """Record a shard's failed call at the other instance, and replace it if needed.
-
-        Parameters
-        ----------
-        upstream : str
-            Upstream that may have run the call, or "".
-        was_sent : bool
-            Whether the call arrived at an upstream, so that its replacement is a repeat.
-        """
-        shard.runs += may_have_run
-        if upstream:
-            shard.tried.add(upstream)
-        if not was_sent:
-            shard.sends -= 1
-        if shard.part is None and not shard.calls and not self.is_over:
-            self.send_replacement(shard)
-
-    def accept_parts(self, shards: list[ShardSearch], answer: Answered) -> bool:
-        """Store merged parts, replacing parts that single calls returned in the meantime.
-
-        Returns False and stores nothing unless there is exactly one signature for each shard.
-        """
-        value = answer.headers.get(self.engine.header_names.part_signatures, "")
-        signatures = [item.strip() for item in value.split(",") if item.strip()]
-        if len(signatures) != len(shards):
-            return False
-        parts = Part(answer.body, signatures)
-        for shard in shards:
-            shard.part = parts
-            parts = Part(b"", [])
-        return True
-
     def send_replacement(self, shard: ShardSearch) -> None:
         """Send the next call of a shard now, or retry shortly if no upstream has capacity."""
         if not self.send(shard):
@@ -365,7 +228,7 @@
             body = self.engine.merger.merge([part.body for part in parts], self.route.result_limit)
             signatures = [signature for part in parts for signature in part.signatures]
             return Gathered(body, signatures, len(self.shards) - len(parts))
-        missing = [shard for shard in self.shards if shard.part is None]
+        missing = self.missing_shards()
         idle = [shard for shard in missing if not shard.calls]
         reason = f"no answer of {len(missing)} shards, {len(idle)} without a call: "
         described = (idle or missing)[:MAX_LOGGED_SHARDS]
--- a/libs/forward/tests/test_delegation.py
+++ b/libs/forward/tests/test_delegation.py
@@ -12,7 +12,7 @@
 from tornado.httputil import HTTPHeaders
 
 from mimosahoist.core.metrics import Metrics
-from mimosahoist.forward import gather
+from mimosahoist.forward import delegated_gather
 from mimosahoist.forward.declarations import Configuration, SharedBounds
 from mimosahoist.forward.delegation import (
     DelegatedCalls,
@@ -38,7 +38,7 @@
 
     def setUp(self) -> None:
         # A delegate on a busy machine must not be mistaken for an unresponsive one.
-        patcher = mock.patch.object(gather, "DELEGATION_ROUND_TRIP_SECONDS", 0.2)
+        patcher = mock.patch.object(delegated_gather, "DELEGATION_ROUND_TRIP_SECONDS", 0.2)
         patcher.start()
         self.addCleanup(patcher.stop)
 
