Health counts cancelled calls that were overdue; a slow upstream is tried again with time

The other way round, an upstream once slow was never chosen again unless hedges happened to go there.

Now a cancelled call that took over three medians counts with that time, and the average returns to 1 with a half-life of 5 s.

--- a/libs/forward/src/mimosahoist/forward/choice.py
+++ b/libs/forward/src/mimosahoist/forward/choice.py
@@ -52,7 +52,8 @@
     """
     health = upstream.health
     excess_occupancy = max(0.0, upstream.occupancy(context.at) - OCCUPANCY_THRESHOLD)
-    total = health.latency_ratio * (1.0 + excess_occupancy) + FAILURE_PENALTY * health.failure_rate
+    total = health.latency_ratio(context.at) * (1.0 + excess_occupancy)
+    total += FAILURE_PENALTY * health.failure_rate
     total += REFUSAL_PENALTY * health.refusal_rate(context.at)
     if (
         upstream.max_call_age(context.at)
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -32,6 +32,10 @@
 """Receives each call's upstream, route, outcome (None if it was cancelled) and time in seconds."""
 
 
+# A cancelled call says nothing about its upstream unless it took clearly longer than usual.
+OVERDUE_LATENCY_MULTIPLE = 3.0
+
+
 class Availability(enum.Enum):
     """Whether a service without a selectable upstream is likely to have one soon."""
 
@@ -146,6 +150,8 @@
         try:
             outcome = await upstream.call(request, until)
         finally:
+            if outcome is None:
+                self.record_unanswered(upstream, request.route, now() - started)
             for listener in self.call_listeners:
                 listener(upstream, request.route, outcome, now() - started)
         self.metrics.count(f"calls_{type(outcome).__name__.lower()}")
@@ -172,11 +178,21 @@
         if not await upstream.accepts_connection():
             self.crashes.record_crash(request.fingerprint, upstream.record.name, request.id)
 
+    def record_unanswered(self, upstream: Upstream, route: Route, elapsed: float) -> None:
+        """Record that a cancelled call had no answer yet, if it was overdue.
+
+        Otherwise an upstream whose calls hang would look as good as before, because a hedged
+        search ends and cancels them long before they time out.
+        """
+        median = self.timing(route).median.value
+        if median > 0 and elapsed > OVERDUE_LATENCY_MULTIPLE * median:
+            upstream.health.record_latency_ratio(elapsed / median, now())
+
     def record_answer(self, upstream: Upstream, route: Route, answer: Answered) -> None:
         """Record an answer time for the route and for the upstream's relative speed."""
         timing = self.timing(route)
         if timing.median.value > 0:
-            upstream.health.record_latency_ratio(answer.elapsed / timing.median.value)
+            upstream.health.record_latency_ratio(answer.elapsed / timing.median.value, now())
         timing.record(answer.elapsed)
 
 
--- a/libs/forward/src/mimosahoist/forward/health.py
+++ b/libs/forward/src/mimosahoist/forward/health.py
@@ -14,6 +14,7 @@
 LATENCY_SMOOTHING = 0.25
 FAILURE_SMOOTHING = 0.2
 MAX_LATENCY_RATIO = 20.0
+LATENCY_RATIO_HALF_LIFE_SECONDS = 5.0
 CONNECT_FAILURE_EJECTION_SECONDS = 0.25
 TIMEOUT_EJECTION_SECONDS = 0.5
 MAX_EJECTION_SECONDS = 2.0
@@ -28,8 +29,6 @@
 
     Attributes
     ----------
-    latency_ratio : float
-        Moving average of response time, as a multiple of the route's typical one.
     failure_rate : float
         Exponentially weighted share of recent calls that failed.
     ejected_until : float
@@ -39,7 +38,8 @@
     """
 
     def __init__(self) -> None:
-        self.latency_ratio = 1.0
+        self.average_ratio = 1.0
+        self.ratio_updated_at = 0.0
         self.failure_rate = 0.0
         self.consecutive_failures = 0
         self.ejected_until = 0.0
@@ -48,11 +48,19 @@
         self.refusals = 0.0
         self.refusals_updated_at = 0.0
 
-    def record_latency_ratio(self, ratio: float) -> None:
+    def record_latency_ratio(self, ratio: float, at: float) -> None:
         """Add one response time, as a multiple of the route's typical one."""
-        self.latency_ratio += LATENCY_SMOOTHING * (
-            min(ratio, MAX_LATENCY_RATIO) - self.latency_ratio
-        )
+        average = self.latency_ratio(at)
+        self.average_ratio = average + LATENCY_SMOOTHING * (min(ratio, MAX_LATENCY_RATIO) - average)
+        self.ratio_updated_at = at
+
+    def latency_ratio(self, at: float) -> float:
+        """Moving average of response time, as a multiple of the route's typical one.
+
+        It returns to 1 with time, so that an upstream that was slow is called again.
+        """
+        age = at - self.ratio_updated_at
+        return 1.0 + (self.average_ratio - 1.0) * 0.5 ** (age / LATENCY_RATIO_HALF_LIFE_SECONDS)
 
     def record_outcome(self, outcome: CallOutcome, at: float) -> None:
         """Update failure rate and ejection from the outcome of a call."""
--- a/libs/forward/tests/test_decisions.py
+++ b/libs/forward/tests/test_decisions.py
@@ -136,12 +136,21 @@
         await asyncio.sleep(10.0)
         self.assertEqual(self.pick(fixture), "a")
 
+    async def test_upstream_that_was_slow_is_called_again_after_a_while(self) -> None:
+        fixture = self.make_fixture()
+        for _ in range(20):
+            fixture.fleet.by_name["s-a"].health.record_latency_ratio(8.0, now())
+        self.assertNotEqual(self.pick(fixture), "a")
+        await asyncio.sleep(10.0)
+        self.assertEqual(self.pick(fixture), "a")
+
     async def test_local_upstream_is_preferred(self) -> None:
         self.assertEqual(self.pick(self.make_fixture()), "a")
 
     async def test_much_slower_local_upstream_is_not_chosen(self) -> None:
         fixture = self.make_fixture()
-        fixture.fleet.by_name["s-a"].health.latency_ratio = 6.0
+        for _ in range(10):
+            fixture.fleet.by_name["s-a"].health.record_latency_ratio(6.0, now())
         self.assertNotEqual(self.pick(fixture), "a")
 
     async def test_upstream_with_overdue_answers_is_not_chosen(self) -> None:
--- a/libs/forward/tests/test_gather.py
+++ b/libs/forward/tests/test_gather.py
@@ -143,6 +143,16 @@
                 await asyncio.sleep(2.0)
                 self.assertEqual([upstream.arrivals for upstream in others], [[], []])
 
+    async def test_upstream_whose_calls_hang_is_left_although_hedges_answer(self) -> None:
+        fixture = EngineFixture(AMPLE_BUDGET)
+        hanging = fixture.add("s0", "a", lambda number: (9.0, None))
+        fixture.add("s0", "b")
+        for _ in range(20):
+            search = ScatterGather(fixture.engine, fixture.request(gathering_route(1)))
+            self.assertIsInstance(await search.run(), Gathered)
+            await asyncio.sleep(0.5)
+        self.assertLess(len(hanging.arrivals), 10)
+
     async def test_search_without_upstreams_is_not_run(self) -> None:
         fixture = EngineFixture(AMPLE_BUDGET)
         outcome = await ScatterGather(fixture.engine, fixture.request(gathering_route())).run()
