Close idle connections between instances

A connection for each pair took 63 KB (100 peers, one process, no keys): 5 MB of 31 MB at 80 instances, 12 at 195, and as many descriptors, for a frame a minute. A socket that is unused for 5 s is closed; the next frame opens another.

--- a/libs/peers/src/mimosahoist/peers/zmq_transport.py
+++ b/libs/peers/src/mimosahoist/peers/zmq_transport.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
 import zmq
 import zmq.asyncio
 import zmq.auth.asyncio
 
-from mimosahoist.core.tasks import TaskSet
+from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.peers.transport import PeerTransport
 
 if TYPE_CHECKING:
@@ -20,6 +21,10 @@
 SEND_QUEUE_FRAMES = 64
 MIN_RECONNECT_MS = 100
 MAX_RECONNECT_MS = 2000
+# Each instance sends to a few peers a second, and in a large fleet to each one once a minute; a
+# connection for each would take more memory than everything else that an instance holds.
+IDLE_CONNECTION_SECONDS = 5.0
+IDLE_CHECK_INTERVAL_SECONDS = 1.0
 
 
 class ClusterKeys(NamedTuple):
@@ -48,6 +53,8 @@
 class ZmqPeerTransport(PeerTransport):
     """Receives on one ROUTER socket, and sends on one DEALER socket per peer.
 
+    A socket that is not used for some seconds is closed, and opened again for the next frame.
+
     Without keys, connections are neither encrypted nor authenticated; use this only on networks
     that only instances can reach.
     """
@@ -59,6 +66,7 @@
         self.context = zmq.asyncio.Context()
         self.receiver: zmq.asyncio.Socket | None = None
         self.senders: dict[str, zmq.Socket] = {}
+        self.last_sent_at: dict[str, float] = {}
         self.sync_context: zmq.Context | None = None
         self.authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
         self.tasks = TaskSet()
@@ -73,6 +81,7 @@
         self.receiver.bind(f"tcp://{self.bind}")
         self.sync_context = zmq.Context.shadow(self.context.underlying)
         self.tasks.spawn(self.receive(handler), "peer receiver")
+        self.tasks.spawn(self.close_idle_connections(), "close idle peer connections")
 
     def require_cluster_key(self, keys: ClusterKeys) -> None:
         """Require clients to authenticate with the cluster's key."""
@@ -104,8 +113,18 @@
             self.metrics.count("peer_bytes_received", len(frame))
             handler(frame)
 
+    async def close_idle_connections(self) -> None:
+        """Periodically close the sockets to which nothing was sent for a while."""
+        while True:
+            await asyncio.sleep(IDLE_CHECK_INTERVAL_SECONDS)
+            idle_since = now() - IDLE_CONNECTION_SECONDS
+            for address, at in list(self.last_sent_at.items()):
+                if at < idle_since:
+                    self.disconnect(address)
+
     def send(self, address: str, frame: bytes) -> None:
         """Queue a frame for a peer; drop and count it if the queue is full."""
+        self.last_sent_at[address] = now()
         sender = self.senders.get(address)
         if sender is None:
             sender = self.connect(address)
@@ -134,6 +153,7 @@
 
     def disconnect(self, address: str) -> None:
         """Close the socket of a peer."""
+        self.last_sent_at.pop(address, None)
         sender = self.senders.pop(address, None)
         if sender is not None:
             sender.close(0)
--- a/libs/peers/tests/test_zmq_transport.py
+++ b/libs/peers/tests/test_zmq_transport.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from tornado.testing import bind_unused_port
 
 from mimosahoist.core.metrics import Metrics
+from mimosahoist.peers import zmq_transport
 from mimosahoist.peers.keys import create_cluster_keys
 from mimosahoist.peers.zmq_transport import ClusterKeys, ZmqPeerTransport
 
@@ -45,6 +47,23 @@
             await asyncio.wait_for(self.received.get(), RECEIVE_TIMEOUT_SECONDS), b"hello"
         )
 
+    async def test_idle_connection_is_closed_and_opened_again(self) -> None:
+        member = await self.sender(self.keys)
+        with (
+            mock.patch.object(zmq_transport, "IDLE_CONNECTION_SECONDS", 0.2),
+            mock.patch.object(zmq_transport, "IDLE_CHECK_INTERVAL_SECONDS", 0.05),
+        ):
+            member.tasks.spawn(member.close_idle_connections(), "close idle")
+            for frame in (b"first", b"second"):
+                member.send(self.address, frame)
+                received = await asyncio.wait_for(self.received.get(), RECEIVE_TIMEOUT_SECONDS)
+                self.assertEqual(received, frame)
+                self.assertEqual(list(member.senders), [self.address])
+                async with asyncio.timeout(RECEIVE_TIMEOUT_SECONDS):
+                    while member.senders:
+                        await asyncio.sleep(0.02)
+                self.assertEqual(member.last_sent_at, {})
+
     async def test_frame_from_unauthorized_client_is_rejected(self) -> None:
         other_keys = create_cluster_keys()
         unauthorized_clients = {
