Report not ready at the first suspicion of a partition

Readiness is a weaker claim than rejecting: one miss alone has no effect. So it follows a suspicion after 0.6 s of silence beside failing calls; calls are still rejected only once the partition is certain. The time to return counts from the suspicion.

--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -100,7 +100,7 @@
 
     def reject_unreachable(self) -> NotRun:
         """Reject a request that too few upstreams within reach of this instance could serve."""
-        since = self.engine.reachability.unreachable_since
+        since = self.engine.reachability.suspected_since
         return NotRun(
             "too few upstreams are within reach of this instance",
             return_to_another_instance(since, now(), self.engine.rng),
--- a/libs/forward/src/mimosahoist/forward/domain_reachability.py
+++ b/libs/forward/src/mimosahoist/forward/domain_reachability.py
@@ -10,6 +10,9 @@
 from mimosahoist.core import json_log
 
 SILENCE_TIMEOUT_SECONDS = 1.2
+# Shorter, as it only decides readiness: the load balancer reacts to the second miss in a row, so
+# that a suspicion that is withdrawn within a second has no effect.
+SUSPICION_SECONDS = 0.6
 RETRY_INTERVAL_SECONDS = 8.0
 FAILURES_BEFORE_SUSPICION = 2
 # Time between two evaluations, and until those that wait for answers notice the result.
@@ -33,15 +36,18 @@
     ----------
     unreachable_domains : frozenset of str
         Domains that appear to be partitioned from this instance.
-    unreachable_since : float
-        Loop time in seconds at which the first of them became unreachable; 0 if there is none.
+    suspected_domains : frozenset of str
+        Domains that may be, including the unreachable ones.
+    suspected_since : float
+        Loop time in seconds at which the first of them was suspected; 0 if there is none.
     """
 
     def __init__(self, own_domain: str) -> None:
         self.own_domain = own_domain
         self.contacts: dict[str, DomainContact] = {}
         self.unreachable_domains: frozenset[str] = frozenset()
-        self.unreachable_since = 0.0
+        self.suspected_domains: frozenset[str] = frozenset()
+        self.suspected_since = 0.0
 
     def contact(self, domain: str, at: float) -> DomainContact:
         """Contact record of a domain, created on first use."""
@@ -67,20 +73,26 @@
             contact.suspected_at = 0.0
 
     def evaluate(self, at: float) -> None:
-        """Update the set of unreachable domains."""
-        unreachable = frozenset(
-            domain
-            for domain, contact in self.contacts.items()
-            if domain != self.own_domain and self.is_unreachable(contact, at)
-        )
+        """Update the sets of suspected and unreachable domains."""
+        unreachable = self.silent_domains(at, SILENCE_TIMEOUT_SECONDS)
+        suspected = unreachable | self.silent_domains(at, SUSPICION_SECONDS)
+        if bool(suspected) != bool(self.suspected_domains):
+            self.suspected_since = at if suspected else 0.0
+        self.suspected_domains = suspected
         for domain in unreachable:
             self.allow_retry(self.contacts[domain], at)
         if unreachable != self.unreachable_domains:
             json_log.info("domains out of reach", domains=sorted(unreachable))
-            if not self.unreachable_domains or not unreachable:
-                self.unreachable_since = at if unreachable else 0.0
             self.unreachable_domains = unreachable
 
+    def silent_domains(self, at: float, timeout: float) -> frozenset[str]:
+        """Other domains in which calls failed and nobody responded for a time in seconds."""
+        return frozenset(
+            domain
+            for domain, contact in self.contacts.items()
+            if domain != self.own_domain and is_silent(contact, at, timeout)
+        )
+
     def allow_retry(self, contact: DomainContact, at: float) -> None:
         """Let calls retry a domain periodically, since its instances may have left for good."""
         if not contact.suspected_at:
@@ -89,10 +101,11 @@
             contact.suspected_at = 0.0
             contact.failures = 0
 
-    def is_unreachable(self, contact: DomainContact, at: float) -> bool:
-        """Whether calls failed and no upstream or instance of a domain responded recently."""
-        return (
-            contact.failures >= FAILURES_BEFORE_SUSPICION
-            and at - contact.last_response_at > SILENCE_TIMEOUT_SECONDS
-            and at - contact.last_peer_contact_at > SILENCE_TIMEOUT_SECONDS
-        )
+
+def is_silent(contact: DomainContact, at: float, timeout: float) -> bool:
+    """Whether calls failed and no upstream or instance of a domain responded within a time."""
+    return (
+        contact.failures >= FAILURES_BEFORE_SUSPICION
+        and at - contact.last_response_at > timeout
+        and at - contact.last_peer_contact_at > timeout
+    )
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -102,12 +102,20 @@
                 return chosen
         return None
 
-    def is_reachable(self, route: Route) -> bool:
-        """Whether enough of a route's services have an upstream in a reachable failure domain."""
+    def is_reachable(self, route: Route, excluded: frozenset[str] | None = None) -> bool:
+        """Whether enough of a route's services have an upstream in a reachable failure domain.
+
+        Parameters
+        ----------
+        excluded : frozenset of str, optional
+            Failure domains to leave out; by default the unreachable ones.
+        """
+        if excluded is None:
+            excluded = self.reachability.unreachable_domains
         services = route.shards or tuple(target.service for target in route.targets)
         reached = sum(
             any(
-                upstream.record.failure_domain not in self.reachability.unreachable_domains
+                upstream.record.failure_domain not in excluded
                 for upstream in self.fleet.eligible_upstreams(service)
             )
             for service in services
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -170,7 +170,7 @@
             for domain in self.peers.domains_heard_since(at - REACHABILITY_INTERVAL_SECONDS):
                 self.engine.reachability.record_peer_contact(domain, at)
             self.engine.reachability.evaluate(at)
-            can_serve = not self.engine.reachability.unreachable_domains or self.can_serve_routes()
+            can_serve = not self.engine.reachability.suspected_domains or self.can_serve_routes()
             if can_serve != self.can_serve:
                 json_log.info("able to serve", able=can_serve)
                 self.can_serve = can_serve
@@ -182,7 +182,8 @@
         """
         if self.state_cache.routes is None:
             return False
-        return all(self.engine.is_reachable(route) for route in self.gathering_routes())
+        suspected = self.engine.reachability.suspected_domains
+        return all(self.engine.is_reachable(route, suspected) for route in self.gathering_routes())
 
     def gathering_routes(self) -> list[Route]:
         """Gathering routes, or all routes if there are none."""
--- a/libs/forward/tests/test_decisions.py
+++ b/libs/forward/tests/test_decisions.py
@@ -212,7 +212,18 @@
                 reachability.evaluate(2.0)
                 self.assertEqual("b" in reachability.unreachable_domains, unreachable)
 
-    def test_time_since_which_domains_are_unreachable(self) -> None:
+    def test_domain_is_suspected_before_it_is_unreachable(self) -> None:
+        reachability = DomainReachability("a")
+        reachability.record_response("b", 0.0)
+        reachability.record_peer_contact("b", 0.0)
+        for _ in range(2):
+            reachability.record_failure("b", 0.5)
+        for at, suspected, unreachable in ((0.5, 0, 0), (0.7, 1, 0), (1.3, 1, 1)):
+            reachability.evaluate(at)
+            self.assertEqual(len(reachability.suspected_domains), suspected)
+            self.assertEqual(len(reachability.unreachable_domains), unreachable)
+
+    def test_time_since_which_domains_are_suspected(self) -> None:
         reachability = DomainReachability("a")
         for domain in "bc":
             reachability.record_response(domain, 0.0)
@@ -221,11 +232,11 @@
             for _ in range(2):
                 reachability.record_failure(failing, at)
             reachability.evaluate(at)
-            self.assertEqual(reachability.unreachable_since, 2.0)
+            self.assertEqual(reachability.suspected_since, 2.0)
         for domain in "bc":
             reachability.record_response(domain, 4.0)
         reachability.evaluate(4.0)
-        self.assertEqual(reachability.unreachable_since, 0.0)
+        self.assertEqual(reachability.suspected_since, 0.0)
 
     def test_domain_is_reachable_again_once_a_peer_is_heard(self) -> None:
         reachability = DomainReachability("a")
--- a/libs/forward/tests/test_return_time.py
+++ b/libs/forward/tests/test_return_time.py
@@ -71,7 +71,7 @@
         dispatcher = Dispatcher(state_cache, fixture.engine, HEADER_NAMES, Metrics())
         reachability = fixture.engine.reachability
         reachability.unreachable_domains = frozenset("b")
-        reachability.unreachable_since = now()
+        reachability.suspected_since = now()
         headers = HTTPHeaders({"Host": "h", HEADER_NAMES.request_id: "r1"})
         outcome = await dispatcher.dispatch("GET", "/x/1", headers, b"")
         self.assertIsInstance(outcome, NotRun)
