Stand-in searcher: release connections whose callers leave while they are served

Traced: which side miscounts when mimosahoist-entry under 85 keyed operations a second gets 504 outcome-unknown from a stand-in that has seen 110 connections. The stand-in: on_close comes only between two requests, so a connection that its caller closed during one stayed counted for good; the new test leaves 30 callers at each of five moments, and all stayed. The entry's own count was right.

--- a/libs/lab/src/mimosahoist/lab/searcher_server.py
+++ b/libs/lab/src/mimosahoist/lab/searcher_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -43,7 +44,11 @@
         return RequestReader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
-        """Release the connection in the model if it was counted there."""
+        """Release a connection that closed between two requests."""
+        self.release(server_conn)
+
+    def release(self, server_conn: object) -> None:
+        """Release a connection in the model if it is counted there."""
         self.blackholed.discard(server_conn)
         if self.open_connections.pop(server_conn, None) is not None:
             self.model.close_connection()
@@ -60,11 +65,18 @@
         if path.startswith(CONTROL_PREFIX):
             await write_reply(connection, self.handle_control(path, body))
             return
-        if server_conn not in self.open_connections:
+        is_new = server_conn not in self.open_connections
+        if is_new:
             if not self.model.accept_connection():
                 connection.stream.close()
                 return
             self.open_connections[server_conn] = connection
+        # A caller may leave while its request is served, or may have left before it was.
+        connection.set_close_callback(functools.partial(self.release, server_conn))
+        if connection.stream.closed():
+            self.release(server_conn)
+            return
+        if is_new:
             await asyncio.sleep(self.model.spec.connect_ms / 1000)
         if server_conn in self.blackholed:
             return
