--- a/libs/lab/src/mimosahoist/lab/soak_faults.py
+++ b/libs/lab/src/mimosahoist/lab/soak_faults.py
@@ -37,7 +37,6 @@
         self.rng = rng
         self.log: list[str] = []
         self.drained: dict[str, float] = {}
-        self.leaving: dict[str, float] = {}
         self.snapshot = 1
         self.poison_requests = 0
         self.injections: dict[str, Callable[[], Awaitable[None]]] = {
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -26,7 +26,6 @@
 )
 from mimosahoist.peers.prober import (
     ACK_TIMEOUT_SECONDS,
-    PROBE_INTERVAL_SECONDS,
     LocalMember,
     Prober,
 )
@@ -44,7 +43,7 @@
     from mimosahoist.platform.versioned import VersionedCopy
 
 PUSH_FANOUT = 3
-PRUNE_INTERVAL_TICKS = 10
+PRUNE_INTERVAL_SECONDS = 5.0
 
 
 class Identity(NamedTuple):
@@ -328,14 +327,10 @@
             self.send(frame.sender, frame.peer_address, FrameKind.PUSH, 0, peer_position)
 
     async def prune(self) -> None:
-        """Periodically advance the window of recent changes and remove expired facts."""
-        ticks = 0
+        """Periodically remove expired facts."""
         while True:
-            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
-            self.progress.advance_window()
-            ticks += 1
-            if ticks % PRUNE_INTERVAL_TICKS == 0:
-                self.fact_table.prune()
+            await asyncio.sleep(PRUNE_INTERVAL_SECONDS)
+            self.fact_table.prune()
 
 
 def changes_after(copy: VersionedCopy, revision: int) -> Changes | None:
--- a/libs/peers/src/mimosahoist/peers/progress.py
+++ b/libs/peers/src/mimosahoist/peers/progress.py
@@ -49,18 +49,11 @@
         self.objects = objects
         self.instances = instances
         self.peers: dict[str, PeerProgress] = {}
-        self.window_start = Position(0, 0, 0)
-        self.next_window_start = Position(0, 0, 0)
 
     def position(self) -> Position:
         """Return the current end of the local history."""
         return Position(self.fact_table.sequence, self.objects.revision, self.instances.revision)
 
-    def advance_window(self) -> None:
-        """Advance the window of recent changes by one interval."""
-        self.window_start = self.next_window_start
-        self.next_window_start = self.position()
-
     def digest_for(self, name: str) -> Digest:
         """Return the digest of the local state to send to a peer."""
         peer = self.peers.get(name)
