--- a/libs/declare/tests/test_declare.py
+++ b/libs/declare/tests/test_declare.py
@@ -110,8 +110,13 @@
         problems = [result for result in results if isinstance(result, Problem)]
         self.assertEqual(len(problems), 1)
         self.assertIs(problems[0].kind, ProblemKind.CONFLICT)
-        self.assertIn("name, out", problems[0].message.replace("'", "") + "name, out")
+        self.assertIn("'failure-domain/a' was changed", problems[0].message)
+        self.assertIn("keys that differ: name, out", problems[0].message)
         self.assertIn("version 2", problems[0].message)
+        winner = next(result for result in results if not isinstance(result, Problem))
+        stored = store.collections["objects"].objects["failure-domain/a"]
+        self.assertEqual((winner[0].version, stored.version), (2, 2))
+        self.assertIn(stored.value["name"], ("x", "y"))
 
     async def test_write_with_lost_answer_is_confirmed_by_reading_back(self) -> None:
         store = PlatformModel(1)
--- a/libs/forward/tests/test_decisions.py
+++ b/libs/forward/tests/test_decisions.py
@@ -97,6 +97,16 @@
         self.assertGreater(health.ejected_until - first, first)
         self.assertTrue(health.on_probation)
 
+    def test_answer_ends_an_ejection(self) -> None:
+        health = UpstreamHealth()
+        for _ in range(3):
+            health.record_outcome(Unreached("refused"), 1.0)
+        self.assertTrue(health.on_probation)
+        self.assertGreater(health.ejected_until, 1.0)
+        health.record_outcome(answered("u"), 1.1)
+        self.assertFalse(health.on_probation)
+        self.assertEqual(health.ejected_until, 0.0)
+
     def test_one_lost_answer_does_not_eject(self) -> None:
         health = UpstreamHealth()
         health.record_outcome(Lost(LossKind.BROKEN), 0.0)
--- a/libs/forward/tests/test_relay.py
+++ b/libs/forward/tests/test_relay.py
@@ -166,7 +166,7 @@
         self.assertEqual((self.far.arrivals, self.own_arrivals), (0, 0))
 
     async def test_request_that_upstreams_refused_is_not_started_elsewhere(self) -> None:
-        # Refusing upstreams are called at 0, 25, 75 and 175 ms, so that none is under way at 300 ms.
+        # Refusing upstreams are called at 0, 25, 75 and 175 ms, so none is under way at 300 ms.
         impatient = tuple(replace(route, timeout=0.3) for route in ROUTES)
         self.near.dispatcher.state_cache.routes = RouteTable(Configuration(1, impatient))
         for upstream in self.near.fixture.fleet.by_name.values():
