Break an import cycle; KNOWN-RED: a search refused while silent connections count against the limits

delegated_gather and gather imported each other; the search's side is now an abstract base class.

test_silent_connections_are_replaced_within_the_limit fails since the recipients of pushes are chosen by domain.

--- a/libs/forward/src/mimosahoist/forward/delegated_gather.py
+++ b/libs/forward/src/mimosahoist/forward/delegated_gather.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.tasks import now
@@ -18,19 +19,50 @@
 
 if TYPE_CHECKING:
     from mimosahoist.forward.delegation import Delegate, Delegation
-    from mimosahoist.forward.gather import ScatterGather
+    from mimosahoist.forward.engine import ForwardEngine
+    from mimosahoist.forward.request import CallerRequest
     from mimosahoist.forward.shard_search import ShardSearch
 
 DELEGATION_ROUND_TRIP_SECONDS = 0.02
 
 
+class DelegatingSearch(ABC):
+    """What a search provides for its delegated calls.
+
+    Attributes
+    ----------
+    shards : list of ShardSearch
+        All shards of the search.
+    changed : asyncio.Event
+        Set when a call has ended.
+    """
+
+    engine: ForwardEngine
+    request: CallerRequest
+    shards: list[ShardSearch]
+    changed: asyncio.Event
+
+    @property
+    @abstractmethod
+    def is_over(self) -> bool:
+        """Whether the search has ended or its deadline has passed, so that no part is needed."""
+
+    @abstractmethod
+    def count_request(self, shard: ShardSearch) -> None:
+        """Count the request once in the service's repeat budget, however often sending fails."""
+
+    @abstractmethod
+    def send_replacement(self, shard: ShardSearch) -> None:
+        """Send the next call of a shard now, or retry shortly if no upstream has capacity."""
+
+
 class DelegatedGather:
     """First calls of one search that instances in other failure domains make.
 
     Hedges and retries are sent by the search itself.
     """
 
-    def __init__(self, search: ScatterGather, delegation: Delegation) -> None:
+    def __init__(self, search: DelegatingSearch, delegation: Delegation) -> None:
         self.search = search
         self.delegation = delegation
         self.engine = search.engine
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -8,7 +8,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.completion import Progress, Verdict, decide, required_parts
-from mimosahoist.forward.delegated_gather import DelegatedGather
+from mimosahoist.forward.delegated_gather import DelegatedGather, DelegatingSearch
 from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
 from mimosahoist.forward.engine import Availability, certainly_not_run
 from mimosahoist.forward.outcomes import (
@@ -39,7 +39,7 @@
 RETRY_AFTER_RANGE_SECONDS = (0.05, 0.25)
 
 
-class ScatterGather:
+class ScatterGather(DelegatingSearch):
     """Sends a request to one upstream of each shard and merges the parts.
 
     An overdue call is hedged at another upstream of the shard, within the repeat budget of the
