--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -189,7 +189,8 @@
         try:
             while not call.done():
                 await asyncio.wait([call], timeout=REACHABILITY_INTERVAL_SECONDS)
-                if target.record.failure_domain in self.engine.reachability.unreachable_domains:
+                unreachable = self.engine.reachability.unreachable_domains
+                if not call.done() and target.record.failure_domain in unreachable:
                     return Lost(LossKind.TIMEOUT)
             return call.result()
         finally:
--- a/libs/forward/tests/test_endless_responses.py
+++ b/libs/forward/tests/test_endless_responses.py
@@ -151,6 +151,17 @@
         self.assertEqual(dropped, ["large"])
         self.assertEqual(buffers.total, 350 * KIB)
 
+    async def test_long_answer_within_the_limit_is_complete(self) -> None:
+        size = MAX_RESPONSE_BYTES - KIB
+        whole = HEAD + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
+        chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK * 15 + b"0\r\n\r\n"
+        for name, response, length in (("whole", whole, size), ("chunks", chunked, 15 * 16 * KIB)):
+            with self.subTest(name):
+                upstream = await self.upstream(response, iter(()))
+                outcome = await self.call(upstream, 5.0)
+                self.assertIsInstance(outcome, Answered)
+                self.assertEqual((len(outcome.body), self.buffers.total), (length, 0))
+
     async def test_interim_responses_before_an_answer_are_accepted(self) -> None:
         interim = b"HTTP/1.1 100 Continue\r\n\r\n" * MAX_INTERIM_RESPONSES
         upstream = await self.upstream(interim + COMPLETE, iter(()))
--- a/libs/forward/tests/test_relay.py
+++ b/libs/forward/tests/test_relay.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from fakes import HEADER_NAMES, EngineFixture, answered, gathering_route, plain_route
 from tornado.httpserver import HTTPServer
@@ -16,7 +17,7 @@
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.front import CallerFrontend
 from mimosahoist.forward.gatherers import Gatherer
-from mimosahoist.forward.outcomes import Failed, Forwarded, Gathered, NotRun, Refused
+from mimosahoist.forward.outcomes import Answered, Failed, Forwarded, Gathered, NotRun, Refused
 from mimosahoist.forward.relay import RelayClient
 from mimosahoist.forward.relay_server import RelayDispatcher
 from mimosahoist.forward.routing import RouteTable
@@ -188,6 +189,15 @@
         self.own.engine.reachability.unreachable_domains = frozenset("a")
         self.assertIsInstance(await asyncio.wait_for(task, 0.7), Failed)
 
+    async def test_answer_that_is_ready_is_returned_from_an_unreachable_domain(self) -> None:
+        self.own.engine.reachability.unreachable_domains = frozenset("a")
+        target = self.relays.target(self.near.gatherer("near"))
+        request = replace(self.own.request(ROUTE), version=1)
+        outcome = Answered(200, "", HTTPHeaders(), b"", 0.0)
+        target.call = mock.AsyncMock(return_value=outcome)
+        received = await self.relays.call_while_reachable(target, request, request.deadline)
+        self.assertEqual(received, outcome)
+
     async def test_unresponsive_instance_is_given_up_before_the_deadline(self) -> None:
         for upstream in self.near.fixture.fleet.by_name.values():
             upstream.script = lambda number: (5.0, None)
