Names and comments from a reading as a newcomer; one place for when rejected callers return

was_attempted and needs_new_connection in place of words of our own; the grace of superseded calls and the time to return stood twice, in plain and gather. A comment claimed more about memory than was measured.

--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -104,7 +104,7 @@
         return NotRun(
             "too few upstreams are within reach of this instance",
             return_to_another_instance(since, now(), self.engine.rng),
-            elsewhere=True,
+            needs_new_connection=True,
         )
 
     async def execute(self, request: CallerRequest) -> RequestOutcome | Refusal:
--- a/libs/forward/src/mimosahoist/forward/domain_reachability.py
+++ b/libs/forward/src/mimosahoist/forward/domain_reachability.py
@@ -15,7 +15,7 @@
 SUSPICION_SECONDS = 0.6
 RETRY_INTERVAL_SECONDS = 8.0
 FAILURES_BEFORE_SUSPICION = 2
-# Time between two evaluations, and until those that wait for answers notice the result.
+# Interval of evaluations, and at which requests that wait for answers look at the result.
 REACHABILITY_INTERVAL_SECONDS = 0.25
 
 
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -32,6 +32,8 @@
 """Receives each call's upstream, route, outcome (None if it was cancelled) and time in seconds."""
 
 
+# Cancelling a call closes its connection, so calls that are no longer needed get time to end.
+SUPERSEDED_CALL_GRACE_SECONDS = 0.4
 # A cancelled call says nothing about its upstream unless it took clearly longer than usual.
 OVERDUE_LATENCY_MULTIPLE = 3.0
 
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -34,7 +34,7 @@
     Parts,
     RequestOutcome,
 )
-from mimosahoist.forward.relay import OFFERED_HEADER
+from mimosahoist.forward.relay import ATTEMPTED_HEADER
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -232,10 +232,10 @@
             self.write_response(STATUS_OK, headers, outcome.body)
         elif isinstance(outcome, NotRun):
             headers["Retry-After"] = f"{outcome.retry_after:.3f}"
-            if outcome.elsewhere:
+            if outcome.needs_new_connection:
                 headers["Connection"] = "close"
-            if outcome.was_offered and self.frontend.dispatcher.serves_instances:
-                headers[OFFERED_HEADER] = "1"
+            if outcome.was_attempted and self.frontend.dispatcher.serves_instances:
+                headers[ATTEMPTED_HEADER] = "1"
             self.write_response(STATUS_UNAVAILABLE, headers, outcome.reason.encode())
         elif isinstance(outcome, Refusal):
             self.write_response(outcome.status, headers, outcome.reason.encode())
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -10,7 +10,11 @@
 from mimosahoist.forward.completion import Progress, Verdict, decide, required_parts
 from mimosahoist.forward.delegated_gather import DelegatedGather, DelegatingSearch
 from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
-from mimosahoist.forward.engine import Availability, certainly_not_run
+from mimosahoist.forward.engine import (
+    SUPERSEDED_CALL_GRACE_SECONDS,
+    Availability,
+    certainly_not_run,
+)
 from mimosahoist.forward.outcomes import (
     Answered,
     CallOutcome,
@@ -21,6 +25,7 @@
     RequestOutcome,
     Unreached,
 )
+from mimosahoist.forward.return_time import return_soon
 from mimosahoist.forward.shard_search import Part, ShardSearch
 
 if TYPE_CHECKING:
@@ -31,12 +36,9 @@
 
 # Reserved before the soft deadline for returning the answer to the caller.
 SOFT_DEADLINE_MARGIN_SECONDS = 0.008
-# Cancelling a call closes its connection, so calls that are no longer needed get time to end.
-SUPERSEDED_CALL_GRACE_SECONDS = 0.4
 DELEGATED_CALL_GRACE_SECONDS = 0.1
 MAX_LOGGED_SHARDS = 3
 CAPACITY_RETRY_SECONDS = 0.02
-RETRY_AFTER_RANGE_SECONDS = (0.05, 0.25)
 
 
 class ScatterGather(DelegatingSearch):
@@ -236,8 +238,8 @@
         if not any(shard.runs or shard.calls or shard.part for shard in self.shards):
             return NotRun(
                 reason,
-                self.engine.rng.uniform(*RETRY_AFTER_RANGE_SECONDS),
-                was_offered=any(shard.request_counted for shard in self.shards),
+                return_soon(self.engine.rng),
+                was_attempted=any(shard.request_counted for shard in self.shards),
             )
         return Failed(reason, now() >= self.request.deadline, len(missing))
 
--- a/libs/forward/src/mimosahoist/forward/outcomes.py
+++ b/libs/forward/src/mimosahoist/forward/outcomes.py
@@ -105,17 +105,17 @@
     ----------
     retry_after : float
         Seconds after which the caller should retry.
-    was_offered : bool
+    was_attempted : bool
         Whether upstreams were called, none of which ran the request. It is then counted in their
         services' repeat budgets and must not be started afresh by another instance.
-    elsewhere : bool
-        Whether the caller should return on a new connection, which may reach another instance.
+    needs_new_connection : bool
+        Whether the caller should retry on a new connection, which may reach another instance.
     """
 
     reason: str
     retry_after: float
-    was_offered: bool = False
-    elsewhere: bool = False
+    was_attempted: bool = False
+    needs_new_connection: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -7,7 +7,7 @@
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
-from mimosahoist.forward.engine import certainly_not_run
+from mimosahoist.forward.engine import SUPERSEDED_CALL_GRACE_SECONDS, certainly_not_run
 from mimosahoist.forward.outcomes import (
     Answered,
     CallOutcome,
@@ -17,6 +17,7 @@
     RequestOutcome,
     Unreached,
 )
+from mimosahoist.forward.return_time import return_soon
 from mimosahoist.forward.routing import pick_service
 
 if TYPE_CHECKING:
@@ -24,10 +25,6 @@
     from mimosahoist.forward.request import CallerRequest
     from mimosahoist.forward.upstream import Upstream
 
-RETRY_AFTER_RANGE_SECONDS = (0.05, 0.25)
-# Cancelling a call closes its connection, so calls that are no longer needed get time to end.
-SUPERSEDED_CALL_GRACE_SECONDS = 0.4
-
 
 class PlainForward:
     """Forwards a request to one upstream of the route's service.
@@ -150,8 +147,8 @@
         if not self.runs and not self.calls:
             return NotRun(
                 "no upstream accepted the request",
-                self.engine.rng.uniform(*RETRY_AFTER_RANGE_SECONDS),
-                was_offered=self.request_counted,
+                return_soon(self.engine.rng),
+                was_attempted=self.request_counted,
             )
         return Failed("no upstream answered", timed_out=now() >= self.request.deadline)
 
--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -38,8 +38,8 @@
     from mimosahoist.forward.request import CallerRequest
 
 VERSION_HEADER = "X-Configuration-Version"
-# Present in a refusal if upstreams were called before; see `NotRun.was_offered`.
-OFFERED_HEADER = "X-Was-Offered"
+# Present in a refusal if upstreams were called before; see `NotRun.was_attempted`.
+ATTEMPTED_HEADER = "X-Was-Attempted"
 # Statuses that the other instance itself returns before it sends anything to an upstream.
 NOT_RUN_STATUSES = frozenset((400, 404, 408, 413, 421, 429, 431, 503))
 STATUS_GATEWAY_TIMEOUT = 504
@@ -79,7 +79,7 @@
         """Distinguish gathered and failed responses from refusals."""
         if not isinstance(outcome, Answered) or self.header_names.signature in outcome.headers:
             return outcome
-        if outcome.status in NOT_RUN_STATUSES and OFFERED_HEADER not in outcome.headers:
+        if outcome.status in NOT_RUN_STATUSES and ATTEMPTED_HEADER not in outcome.headers:
             return Refused(outcome.status)
         if outcome.is_success and self.header_names.part_signatures not in outcome.headers:
             return Lost(LossKind.MALFORMED)
@@ -210,8 +210,8 @@
             return Forwarded(answer)
         if not answer.is_success:
             reason = answer.body.decode(errors="replace")
-            if OFFERED_HEADER in answer.headers:
-                return NotRun(reason, float(answer.headers["Retry-After"]), was_offered=True)
+            if ATTEMPTED_HEADER in answer.headers:
+                return NotRun(reason, float(answer.headers["Retry-After"]), was_attempted=True)
             return Failed(reason, answer.status == STATUS_GATEWAY_TIMEOUT)
         header_names = self.engine.header_names
         signatures = [
--- a/libs/forward/src/mimosahoist/forward/return_time.py
+++ b/libs/forward/src/mimosahoist/forward/return_time.py
@@ -1,8 +1,9 @@
 """Decides when the callers of a rejected request should return; does no I/O.
 
-Answers the load of a network partition that cuts an instance off from upstreams that a route needs.
-The instance reports itself as not ready, but the load balancer sends it new connections until it
-has missed several checks. A caller that returns sooner is rejected by the same instance again, and
+Answers two loads. If upstreams are full or refuse calls for a moment, callers return soon, spread
+over a short time. If a network partition cuts an instance off from upstreams that a
+route needs, it reports itself as not ready, but the load balancer sends it new connections until it
+has missed several checks: a caller that returns sooner is rejected by the same instance again, and
 callers retry only a few times.
 """
 
@@ -20,6 +21,15 @@
 RETURN_SPREAD_SECONDS = 0.2
 
 
+# Upstreams that are full or refuse calls are expected to accept calls again within this time.
+SOON_RANGE_SECONDS = (0.05, 0.25)
+
+
+def return_soon(rng: random.Random) -> float:
+    """Seconds until a caller should retry after upstreams had no capacity."""
+    return rng.uniform(*SOON_RANGE_SECONDS)
+
+
 def return_to_another_instance(unable_since: float, at: float, rng: random.Random) -> float:
     """Seconds until a new connection of a caller reaches an instance that can serve it.
 
--- a/libs/forward/tests/test_return_time.py
+++ b/libs/forward/tests/test_return_time.py
@@ -75,7 +75,7 @@
         headers = HTTPHeaders({"Host": "h", HEADER_NAMES.request_id: "r1"})
         outcome = await dispatcher.dispatch("GET", "/x/1", headers, b"")
         self.assertIsInstance(outcome, NotRun)
-        self.assertTrue(outcome.elsewhere)
+        self.assertTrue(outcome.needs_new_connection)
         self.assertGreater(outcome.retry_after, 2.0)
 
 
--- a/libs/peers/src/mimosahoist/peers/push.py
+++ b/libs/peers/src/mimosahoist/peers/push.py
@@ -1,9 +1,9 @@
 """Selection of the peers to which an instance pushes changes; does no I/O.
 
-Each instance pushes what is new to it. Bytes between failure domains are dear, and every instance
-of a domain would carry the same changes across: so one that received a change passes it on within
-its domain, and only a few of them also to another. An instance that made a change itself pushes it
-to every domain at once. What a push misses, the anti-entropy of probes repairs.
+Each instance pushes what is new to it. Bytes between failure domains cost more than within one, and
+every instance of a domain would carry the same changes across. So one that received a change passes
+it on within its domain, and only a few of them also to another. An instance that made a change
+itself pushes it to every domain at once. What a push misses, the anti-entropy of probes repairs.
 """
 
 from __future__ import annotations
--- a/libs/peers/src/mimosahoist/peers/zmq_transport.py
+++ b/libs/peers/src/mimosahoist/peers/zmq_transport.py
@@ -21,8 +21,8 @@
 SEND_QUEUE_FRAMES = 64
 MIN_RECONNECT_MS = 100
 MAX_RECONNECT_MS = 2000
-# Each instance sends to a few peers a second, and in a large fleet to each one once a minute; a
-# connection for each would take more memory than everything else that an instance holds.
+# Each instance sends to a few peers a second, chosen among all. If connections to all stayed open,
+# their memory would grow with the fleet.
 IDLE_CONNECTION_SECONDS = 5.0
 IDLE_CHECK_INTERVAL_SECONDS = 1.0
 
