--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import tornado.web
 from tornado.httpserver import HTTPServer
 
 from mimosahoist.core import json_log
@@ -25,6 +24,7 @@
 from mimosahoist.forward.rollout_controller import RolloutController
 from mimosahoist.forward.shares import FleetShares, Shares
 from mimosahoist.forward.state_cache import StateCache
+from mimosahoist.forward.status import StatusService, StatusSource
 from mimosahoist.platform.watched import WatchedKind
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
 COUNTERS_INTERVAL_SECONDS = 10.0
 
 
-class ForwardingInstance:
+class ForwardingInstance(StatusSource):
     """Creates, connects and runs the components of one instance."""
 
     def __init__(
@@ -121,12 +121,7 @@
             self.frontend, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
         )
         listen_on(self.caller_server, self.settings.callers_address)
-        status_application = tornado.web.Application(
-            [
-                (self.settings.readiness_path, ReadinessHandler, {"instance": self}),
-                (r"/metrics", MetricsHandler, {"instance": self}),
-            ]
-        )
+        status_service = StatusService(self, self.settings.readiness_path)
         self.servers = [self.caller_server]
         if self.settings.relay_address:
             relay_server = HTTPServer(
@@ -135,7 +130,7 @@
             listen_on(relay_server, self.settings.relay_address)
             self.servers.append(relay_server)
         for address in (self.settings.readiness_address, self.settings.metrics_address):
-            server = HTTPServer(status_application)
+            server = HTTPServer(status_service)
             listen_on(server, address)
             self.servers.append(server)
         self.tasks.spawn(self.monitor_reachability(), "monitor reachability")
@@ -197,6 +192,10 @@
         known = self.state_cache.routes is not None and bool(self.fleet.by_name)
         return known and self.can_serve and not self.draining
 
+    def render_metrics(self) -> str:
+        """All counters and latencies as text."""
+        return self.metrics.render()
+
     async def drain(self) -> None:
         """Drain: announce the stop, accept no new connections and finish requests in flight."""
         started = now()
@@ -239,31 +238,6 @@
             await server.close_all_connections()
 
 
-class StatusHandler(tornado.web.RequestHandler):
-    """Base of the handlers for operators and the load balancer."""
-
-    def initialize(self, instance: ForwardingInstance) -> None:
-        """Set the instance that the handler reports on."""
-        self.instance = instance
-
-
-class ReadinessHandler(StatusHandler):
-    """Reports readiness to the load balancer."""
-
-    def get(self) -> None:
-        """Respond with 200 if ready, otherwise with 503."""
-        self.set_status(200 if self.instance.ready else 503)
-
-
-class MetricsHandler(StatusHandler):
-    """Reports counters and latencies as text."""
-
-    def get(self) -> None:
-        """Respond with all metrics."""
-        self.set_header("Content-Type", "text/plain")
-        self.finish(self.instance.metrics.render())
-
-
 def listen_on(server: HTTPServer, address: str) -> None:
     """Listen on an address ``host:port``."""
     host, _, port = address.rpartition(":")
