Tests: faulty versions at four rates of requests get more than their allowance (known failure)

Why the existing test passed: test_faulty_versions_are_rolled_back gives the beginning of a fault in loop time, and its cases run one after another on one loop, so from the second on each fault began before its rollout was ordered. The fault of a FaultyVersion now begins a time after the order.

--- a/libs/forward/tests/fakes.py
+++ b/libs/forward/tests/fakes.py
@@ -43,6 +43,7 @@
     """
 
     script: Script
+    script_knows_route = False
     arrivals: list[float]
     forwarded_headers: list[HTTPHeaders]
 
@@ -50,13 +51,18 @@
         loop = asyncio.get_running_loop()
         self.arrivals.append(loop.time())
         self.forwarded_headers.append(self.request_headers(request))
-        delay, outcome = self.script(len(self.arrivals))
+        delay, outcome = self.answer(len(self.arrivals), request)
         if outcome is None or loop.time() + delay > until:
             await asyncio.sleep(max(0.0, until - loop.time()))
             return Lost(LossKind.TIMEOUT)
         await asyncio.sleep(delay)
         return outcome
 
+    def answer(self, number: int, request: CallerRequest) -> tuple[float, CallOutcome | None]:
+        if self.script_knows_route:
+            return self.script(number, request.route.name)
+        return self.script(number)
+
 
 def fast_answers(name: str) -> Script:
     return lambda number: (0.02, answered(name, name.encode().ljust(16)[:16]))
--- /dev/null
+++ b/libs/forward/tests/test_rollout_exposure.py
@@ -0,0 +1,65 @@
+"""Requests that a faulty version gets during a rollout, counted from the order to its deadline."""
+
+from __future__ import annotations
+
+import asyncio
+
+from rollout_cluster import RARE_ROUTE, TIME_LIMIT_SECONDS, Cluster, FaultyVersion
+
+from mimosahoist.forward.rollout import RolloutPhase
+from mimosahoist.lab.paused_loop import PausedTestCase
+
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK_CALLS = 50
+ROLLBACK_SECONDS = 5.0
+ROLLBACK_FAILURES = 50
+CALL_RATES = (24.0, 48.0, 120.0, 180.0)
+FAULTS = {
+    "fails at once": lambda: FaultyVersion(0.0, 0.4),
+    "fails later": lambda: FaultyVersion(6.0, 0.4),
+    "fails late": lambda: FaultyVersion(9.0, 0.5),
+    "slows at once": lambda: FaultyVersion(0.0, 0.9, latency_factor=5.0),
+    "slows partly": lambda: FaultyVersion(0.0, 0.4, latency_factor=4.0),
+    "slows later": lambda: FaultyVersion(7.0, 0.9, latency_factor=5.0),
+    "fails under load": lambda: FaultyVersion(0.0, 0.5, min_calls_per_second=20.0),
+    "slows under load": lambda: FaultyVersion(
+        0.0, 0.8, latency_factor=5.0, min_calls_per_second=20.0
+    ),
+    "fails on a rare route": lambda: FaultyVersion(0.0, 0.5, route=RARE_ROUTE),
+    "slows on a rare route": lambda: FaultyVersion(0.0, 0.9, latency_factor=5.0, route=RARE_ROUTE),
+}
+
+
+class RolloutExposureTest(PausedTestCase):
+    async def violations(self, faulty: FaultyVersion, rate: float) -> list[str]:
+        """Play one rollout of a faulty version; return what it did beyond the rules."""
+        cluster = Cluster(faulty.script, rate)
+        faulty.ordered_at = float("inf")
+        await cluster.start()
+        faulty.ordered_at = cluster.ordered_at
+        await asyncio.sleep(TIME_LIMIT_SECONDS + ROLLBACK_SECONDS + 1.0)
+        phase = cluster.state.phase
+        deadline = cluster.ordered_at + TIME_LIMIT_SECONDS
+        target, other = (
+            [at for at in cluster.sent(version) if cluster.ordered_at <= at <= deadline]
+            for version in ("v2", "v1")
+        )
+        last = cluster.sent("v2")[-1]
+        await cluster.close()
+        allowed = EXPOSURE_SHARE * (len(target) + len(other)) + EXPOSURE_SLACK_CALLS
+        found = [f"{len(target)} calls, {allowed:.0f} allowed"] if len(target) > allowed else []
+        if phase is not RolloutPhase.ROLLED_BACK:
+            found.append(str(phase))
+        if len(faulty.failures) >= ROLLBACK_FAILURES:
+            late = last - faulty.failures[ROLLBACK_FAILURES - 1]
+            if late > ROLLBACK_SECONDS:
+                found.append(f"called {late:.1f} s after its failures")
+        return found
+
+    async def test_faulty_version_gets_no_more_than_its_allowance(self) -> None:
+        found = {
+            f"{name} at {rate:g}/s": await self.violations(make(), rate)
+            for name, make in FAULTS.items()
+            for rate in CALL_RATES
+        }
+        self.assertEqual({case: broken for case, broken in found.items() if broken}, {})
