A slower version is noticed on routes with few calls

What callers saw: a version whose answers take several times as long got all traffic and was completed, at 24 and 48 requests a second at each try, on a route with a fifth of the requests at 180 a second as well.

Cause: a call counts as slow by the 95th percentile of the other versions' answers on its route at this instance, and that was computed for the first time after 100 answers. Until then nothing is slow. With eight instances and 22 requests a second on a route, 100 answers take 36 s; the rollout has 12.

Evidence: in the log of such a rollout all calls to the target are counted, none of them as slow, and "version bad" is missing. Ruled out: the sequential test (test_sequential finds the same counts faulty), a loss of records (they arrive).

Change: slow is 2.5 times the median, computed from the eighth answer on. The share of slow answers of the other versions on the route stays the healthy rate, so pauses and long answers that both versions have reject neither.

--- a/libs/core/src/mimosahoist/core/metrics.py
+++ b/libs/core/src/mimosahoist/core/metrics.py
@@ -56,24 +56,37 @@
 
     It covers the current and the previous window of samples, so a value drops out after at most
     two windows.
+
+    Parameters
+    ----------
+    initial : float
+        Value until the first computation.
+    first_samples : int
+        Number of samples at which the quantile is computed first.
     """
 
     WINDOW_SAMPLES = 500
+    REFRESH_SAMPLES = 100
 
-    def __init__(self, percent: float, initial: float) -> None:
+    def __init__(
+        self, percent: float, initial: float, first_samples: int = REFRESH_SAMPLES
+    ) -> None:
         self.percent = percent
         self.value = initial
+        self.next_refresh = first_samples
         self.samples: list[float] = []
         self.previous: list[float] = []
 
     def record(self, seconds: float) -> None:
-        """Record one duration; recompute the quantile every 100 samples."""
+        """Record one duration; recompute the quantile when due."""
         self.samples.append(seconds)
-        if len(self.samples) % 100 == 0:
+        if len(self.samples) >= self.next_refresh:
             self.refresh()
+            self.next_refresh += min(self.next_refresh, self.REFRESH_SAMPLES)
         if len(self.samples) >= self.WINDOW_SAMPLES:
             self.previous = self.samples
             self.samples = []
+            self.next_refresh = self.REFRESH_SAMPLES
 
     def refresh(self) -> None:
         """Recompute the quantile."""
--- a/libs/moves/src/mimosahoist/moves/evidence.py
+++ b/libs/moves/src/mimosahoist/moves/evidence.py
@@ -22,8 +22,10 @@
 BUCKET_SECONDS = 0.5
 SHORT_BUCKETS = 4
 LONG_BUCKETS = 20
-BASELINE_PERCENTILE = 95.0
-SLOW_EXCHANGE_FACTOR = 1.5
+BASELINE_PERCENTILE = 50.0
+# A median needs few exchanges, so that routes with little traffic are judged as well.
+BASELINE_SAMPLES = 8
+SLOW_EXCHANGE_FACTOR = 2.5
 COUNTS_PER_RECORD = 12
 
 
@@ -69,7 +71,7 @@
 
     def __init__(self) -> None:
         self.buckets: deque[Window] = deque([Window()], maxlen=LONG_BUCKETS)
-        self.baseline = SlidingQuantile(BASELINE_PERCENTILE, float("inf"))
+        self.baseline = SlidingQuantile(BASELINE_PERCENTILE, float("inf"), BASELINE_SAMPLES)
 
     def record(
         self, is_new: bool, failed: bool, elapsed: float | None, completed: bool = True
