An instance that starts during a rollout takes the time since its order from the others

What callers saw: a good version is rolled back at half its time if an instance whose clock is six seconds ahead starts then.

Cause: such an instance takes the time since the order from the time of day at which the last writer wrote, so that it believes the time limit near, and any instance may write. The class is that of the evidence: what is ordered or measured by another instance's time of day.

Evidence: test_instance_whose_clock_is_ahead_does_not_finish_early ended with ROLLED_BACK before, 4 s after the order.

Change: instances share the time since the order with what they have sent; one that did not see the order takes the latest, and decides nothing for 1.5 s while it has heard none. Only if all instances have started anew is the time of day left.

After: completed, the last step 2.1 s before the limit.

--- a/libs/forward/src/mimosahoist/forward/rollout_controller.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_controller.py
@@ -10,7 +10,7 @@
 from mimosahoist.core.tasks import TaskSet, now, unix_time
 from mimosahoist.forward.rollout import Rollout, RolloutPhase, RolloutState
 from mimosahoist.forward.rollout_evidence import RolloutEvidence
-from mimosahoist.forward.rollout_exposure import ExposureFacts
+from mimosahoist.forward.rollout_exposure import EXPOSURE_PREFIX, ExposureFacts
 from mimosahoist.forward.rollout_plan import RolloutObservation, next_state
 from mimosahoist.forward.version_split import VersionSplit
 from mimosahoist.moves.evidence import BUCKET_SECONDS, VERDICT_PREFIX, EvidenceFacts, VerdictFacts
@@ -37,6 +37,8 @@
 LATE_WRITE_STAGGER_SECONDS = 0.12
 MIN_CAPACITY_SHARE = 0.5
 LOG_INTERVAL_SECONDS = 1.0
+# Time in which an instance that starts hears from the others how long ago a rollout was ordered.
+ELAPSED_WAIT_SECONDS = 1.5
 EXHAUSTED = "the target has had all calls that it may get before the rollout is completed"
 OVERDUE = "the time limit passed before the rollout was completed"
 
@@ -97,7 +99,7 @@
         self.fact_table.register(EvidenceFacts(), self.handle_fact)
         self.fact_table.register(VerdictFacts(), self.handle_fact)
         self.fact_table.register(ConfirmationFacts(), self.handle_fact)
-        self.fact_table.register(ExposureFacts(), self.handle_fact)
+        self.fact_table.register(ExposureFacts(), self.handle_exposure)
         state_cache.listeners.append(self.handle_item)
 
     async def start(self) -> None:
@@ -150,6 +152,8 @@
             self.evidence[rollout.service] = RolloutEvidence(
                 rollout, split, self.peers.name, self.fact_table
             )
+            for _, value in self.fact_table.values(f"{EXPOSURE_PREFIX}{rollout.key}/"):
+                split.record_elapsed(value[-1], now())
         split.update(rollout, now())
         weight = (
             0.0
@@ -203,7 +207,7 @@
         The stored state may not follow for long, while the store is unavailable.
         """
         split = self.fleet.splits[rollout.service]
-        if split.weight <= 0.0:
+        if split.weight <= 0.0 or not split.knows_elapsed(now(), ELAPSED_WAIT_SECONDS):
             return None
         seconds_left = rollout.time_limit_seconds - split.elapsed(now(), unix_time())
         if seconds_left <= 0.0:
@@ -212,6 +216,12 @@
         is_spent = exposure.remaining(self.fleet.bounds, seconds_left) <= 0.0
         return EXHAUSTED if is_spent else None
 
+    def handle_exposure(self, key: str, value: Any) -> None:
+        """Take the time since the order from an instance that has seen it."""
+        for split in self.fleet.splits.values():
+            if key.startswith(f"{EXPOSURE_PREFIX}{split.rollout.key}/"):
+                split.record_elapsed(value[-1], now())
+
     def log_exposure(self) -> None:
         """Log once a second what the targets of the rollouts have had."""
         if now() - self.logged_at < LOG_INTERVAL_SECONDS:
@@ -281,6 +291,8 @@
     def advance(self, item: WatchedItem) -> None:
         """Write the next state when it is due, delayed by this instance's rank."""
         rollout = item.value
+        if not self.fleet.splits[rollout.service].knows_elapsed(now(), ELAPSED_WAIT_SECONDS):
+            return
         state = next_state(rollout, self.observe(item), self.fleet.bounds, unix_time())
         if state is None:
             self.due_since.pop(rollout.service, None)
--- a/libs/forward/src/mimosahoist/forward/version_split.py
+++ b/libs/forward/src/mimosahoist/forward/version_split.py
@@ -45,6 +45,8 @@
         self.target_calls = 0
         self.target_requests = 0
         self.numbers = CallNumbers()
+        self.latest_elapsed = 0.0
+        self.latest_elapsed_at = at
 
     def set_weight(self, weight: float) -> None:
         """Apply another share and restart the count of calls."""
@@ -66,8 +68,9 @@
         """Seconds since the rollout was ordered.
 
         They are counted on the monotonic clock from when this instance first saw the rollout. An
-        instance that started later can only rely on the state it saw first, and on the time at
-        which it was written by the writer's clock.
+        instance that started later takes them from the others. If none has told it, it can only
+        rely on the state that it saw first, and on the time at which it was written by the
+        writer's clock.
 
         Parameters
         ----------
@@ -77,6 +80,8 @@
         since_seen = at - self.first_seen_at
         if self.saw_order:
             return since_seen
+        if self.latest_elapsed:
+            return self.latest_elapsed + at - self.latest_elapsed_at
         since_written = max(since_seen, unix_at - self.first_seen_state.written_at)
         return self.first_seen_state.elapsed + since_written
 
@@ -85,6 +90,16 @@
         """Whether this instance saw the rollout before any progress was stored."""
         return not self.first_seen_state.written_at
 
+    def knows_elapsed(self, at: float, patience: float) -> bool:
+        """Whether `elapsed` can be relied on, or no other instance has told in some seconds."""
+        return self.saw_order or self.latest_elapsed > 0.0 or at - self.first_seen_at >= patience
+
+    def record_elapsed(self, elapsed: float, at: float) -> None:
+        """Record how long ago, by another instance, the rollout was ordered."""
+        if elapsed > self.latest_elapsed + at - self.latest_elapsed_at:
+            self.latest_elapsed = elapsed
+            self.latest_elapsed_at = at
+
     def is_target(self, upstream: Upstream) -> bool:
         """Whether an upstream runs the target version."""
         return upstream.record.version == self.rollout.target
--- a/libs/forward/tests/test_rollout_exposure.py
+++ b/libs/forward/tests/test_rollout_exposure.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from rollout_cluster import RARE_ROUTE, TIME_LIMIT_SECONDS, Cluster, FaultyVersion
+from rollout_cluster import INSTANCES, RARE_ROUTE, TIME_LIMIT_SECONDS, Cluster, FaultyVersion
 
 from mimosahoist.forward.rollout import RolloutPhase
 from mimosahoist.lab.paused_loop import PausedTestCase
@@ -82,3 +82,17 @@
         await asyncio.sleep(TIME_LIMIT_SECONDS)
         self.assertEqual(self.excess(cluster), [])
         await cluster.close()
+
+    async def test_instance_whose_clock_is_ahead_does_not_finish_early(self) -> None:
+        cluster = Cluster()
+        await cluster.start()
+        await asyncio.sleep(4.0)
+        asyncio.get_running_loop().unix_offset = 6.0
+        cluster.calls_per_second = 1.0
+        for number in range(INSTANCES, 3 * INSTANCES):
+            await cluster.add(number)
+        await asyncio.sleep(TIME_LIMIT_SECONDS - 4.0)
+        elapsed = {state.phase: state.elapsed for state in cluster.store.written_states}
+        self.assertEqual(cluster.state.phase, RolloutPhase.COMPLETED)
+        self.assertGreater(elapsed[RolloutPhase.FINISHING], TIME_LIMIT_SECONDS - 3.0)
+        await cluster.close()
