Changes to a store that was restored from a copy are in force: revisions count within their epoch

Cause: everything that came from the store was ordered by its revision, in each instance and between them: items, the revision up to which all is known, watches, conditional writes, confirmations of a rollout's last step. A restored store gives revisions out again, so that what it says afterwards counts as older than what it said before. The class: an order that is only valid within one life of the store, used across two.

Ruled out: lost watches (lists find nothing either).

Change: the translation of the platform gives each revision its place in the order of all that the store has ever given out: the epoch (`Store-Era`) in the upper bits. Every comparison stays as it is, and what a peer that was paused or cut off brings from an earlier epoch loses everywhere. An instance that learns of a new epoch defers removals, as after an outage.

--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -10,7 +10,7 @@
 from mimosahoist.core.problem import Problem
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.revision_tracker import RevisionTracker
-from mimosahoist.platform.watched import HistoryLost, WatchedItem, WatchedKind
+from mimosahoist.platform.watched import HistoryLost, WatchedItem, WatchedKind, epoch_of
 
 if TYPE_CHECKING:
     import random
@@ -108,6 +108,7 @@
         self.unavailable_since: dict[WatchedKind, float] = {}
         self.removals_deferred_until = 0.0
         self.pending_removals: dict[str, PendingRemoval] = {}
+        self.epoch = 0
 
     async def start(self) -> None:
         """Start following every kind."""
@@ -171,6 +172,7 @@
         self.metrics.count("store_lists")
         listing = await self.store.list(kind)
         self.mark_store_available(kind)
+        self.record_epoch(listing.revision)
         listed = {item.name for item in listing.items}
         removed = [
             WatchedItem(name, listing.revision, None)
@@ -185,6 +187,7 @@
         self.metrics.count("store_watches")
         changes = await self.store.watch(kind, revision, WATCH_TIMEOUT_SECONDS)
         self.mark_store_available(kind)
+        self.record_epoch(changes.revision)
         self.apply_changes(kind, changes)
         if changes.items:
             self.record_delivered(changes)
@@ -269,6 +272,24 @@
             return
         json_log.info("store back", kind=str(kind), away_seconds=round(now() - since, 2))
         self.defer_removals()
+        self.notify_recovered()
+
+    def record_epoch(self, revision: int) -> None:
+        """Defer removals if the store was restored from a copy, which may lack entries."""
+        epoch = epoch_of(revision)
+        if epoch <= self.epoch:
+            return
+        if self.epoch:
+            self.metrics.count("store_restored")
+            json_log.info(
+                "store restored", epoch=epoch, before=self.epoch, known=self.revisions.known_through
+            )
+            self.defer_removals()
+            self.notify_recovered()
+        self.epoch = epoch
+
+    def notify_recovered(self) -> None:
+        """Call the listeners because the store answers again, or was restored."""
         for listener in self.recovery_listeners:
             listener()
 
--- a/libs/platform/src/mimosahoist/platform/watched.py
+++ b/libs/platform/src/mimosahoist/platform/watched.py
@@ -6,6 +6,30 @@
 from abc import ABC, abstractmethod
 from typing import Any, NamedTuple
 
+REVISION_BITS = 47
+REVISION_MASK = (1 << REVISION_BITS) - 1
+# Positions must fit a signed integer of 64 bits, so that peers can exchange them.
+MAX_EPOCH = (1 << (63 - REVISION_BITS)) - 1
+
+
+def make_position(epoch: int, revision: int) -> int:
+    """Return the position of a revision that a store gave out in an epoch.
+
+    A store that is restored from a copy gives revisions out again, and begins an epoch. Positions
+    order all that it has ever given out, so they stand wherever the product says revision.
+    """
+    return (epoch << REVISION_BITS) | revision
+
+
+def epoch_of(position: int) -> int:
+    """Return the epoch of a position."""
+    return position >> REVISION_BITS
+
+
+def revision_of(position: int) -> int:
+    """Return the revision that a position stands for within its epoch."""
+    return position & REVISION_MASK
+
 
 class WatchedKind(enum.StrEnum):
     """Kinds of objects that an instance watches."""
@@ -17,7 +41,13 @@
 
 
 class WatchedItem(NamedTuple):
-    """An object with the store revision of its last change; `value` is None once it is removed."""
+    """An object with the store revision of its last change; `value` is None once it is removed.
+
+    Attributes
+    ----------
+    revision : int
+        Position in the order of all that the store has given out, see `make_position`.
+    """
 
     name: str
     revision: int
