A configuration that was in force does not come back older with a restored store

What callers would see: for as long as the operator has not written again, instances that start get the older configuration of the copy, from the store or, since it stands at a newer revision, from peers that have the newer one in force. And a version that is given out again with another content is never in force.

Cause: peers exchange the configuration by the store's revision alone, while instances put it in force by its version; after a restore the two orders disagree. An equal version counted as in force whatever it holds.

Evidence: test_confirmed_configuration_does_not_come_back_older (an instance that starts gets 11 where all have 13) and test_version_that_is_given_out_again_is_in_force_as_written_last failed before, on the paused clock with four instances.

Change: one order everywhere, the version first, then the revision, in the cache and in what peers exchange; of one version the content that was written last is in force. The instances of the tests pass on recoveries of the store as the product's do.

--- a/libs/forward/src/mimosahoist/forward/declarations.py
+++ b/libs/forward/src/mimosahoist/forward/declarations.py
@@ -108,6 +108,8 @@
         Seconds for which it remains cold, counted from the time of the report.
     started_at_ms : int
         Unix time of its start in milliseconds; 0 if not reported.
+    sequence : int
+        Number of the report, counted by the upstream since its start; 0 if not reported.
     """
 
     name: str
@@ -119,6 +121,7 @@
     leaving: bool = False
     cold_seconds: float = 0.0
     started_at_ms: int = 0
+    sequence: int = 0
 
 
 class SharedBounds(NamedTuple):
--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -108,7 +108,7 @@
         self.unavailable_since: dict[WatchedKind, float] = {}
         self.removals_deferred_until = 0.0
         self.pending_removals: dict[str, PendingRemoval] = {}
-        self.epoch = 0
+        self.epoch: int | None = None
 
     async def start(self) -> None:
         """Start following every kind."""
@@ -277,9 +277,9 @@
     def record_epoch(self, revision: int) -> None:
         """Defer removals if the store was restored from a copy, which may lack entries."""
         epoch = epoch_of(revision)
-        if epoch <= self.epoch:
+        if self.epoch is not None and epoch <= self.epoch:
             return
-        if self.epoch:
+        if self.epoch is not None:
             self.metrics.count("store_restored")
             json_log.info(
                 "store restored", epoch=epoch, before=self.epoch, known=self.revisions.known_through
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -21,6 +21,7 @@
 from mimosahoist.forward.follower import PeerView
 from mimosahoist.forward.gatherers import Gatherer
 from mimosahoist.forward.rollout import Rollout
+from mimosahoist.forward.state_cache import version_of
 from mimosahoist.peers.exchange import Identity, PeerExchange
 from mimosahoist.peers.facts import FactKind, FactTable
 from mimosahoist.peers.members import MEMBER_PREFIX, MemberState
@@ -57,7 +58,10 @@
 
 
 class StateFacts(FactKind):
-    """Objects of the store as (revision, encoded value); the higher revision wins."""
+    """Objects of the store as (version, revision, encoded value); the greater one wins.
+
+    The version is 0 but for configurations, see `version_of`.
+    """
 
     prefix = STATE_PREFIX
 
@@ -65,13 +69,13 @@
         """Whether a received value is well-formed."""
         return (
             isinstance(value, list | tuple)
-            and len(value) == 2
-            and isinstance(value[0], int)
-            and isinstance(value[1], bytes)
+            and len(value) == 3
+            and all(isinstance(number, int) for number in value[:2])
+            and isinstance(value[2], bytes)
         )
 
     def join(self, held: Any, received: Any) -> Any:
-        """Keep the higher revision; at equal revisions the greater bytes, so that all agree."""
+        """Keep the later one; at equal revisions the greater bytes, so that all agree."""
         return max(list(held), list(received))
 
 
@@ -294,7 +298,8 @@
 
     def publish_state(self, kind: WatchedKind, item: WatchedItem) -> None:
         """Publish an item of the store to the peers."""
-        value = [item.revision, pack(msgspec.msgpack.encode(item.value))]
+        encoded = pack(msgspec.msgpack.encode(item.value))
+        value = [version_of(item.value), item.revision, encoded]
         self.fact_table.publish(f"{STATE_PREFIX}{kind}/{item.name}", value, urgent=True)
 
     def share_crash_records(self, crashes: CrashTracker) -> None:
@@ -329,11 +334,11 @@
         kind_name, _, name = key[len(STATE_PREFIX) :].partition("/")
         try:
             kind = WatchedKind(kind_name)
-            decoded = msgspec.msgpack.decode(unpack(value[1]), type=VALUE_TYPES[kind] | None)
+            decoded = msgspec.msgpack.decode(unpack(value[2]), type=VALUE_TYPES[kind] | None)
         except (ValueError, zlib.error, msgspec.MsgspecError):
             self.metrics.count("peer_beliefs_unreadable")
             return
-        if self.state_cache.put_if_newer(kind, WatchedItem(name, value[0], decoded)):
+        if self.state_cache.put_if_newer(kind, WatchedItem(name, value[1], decoded)):
             self.metrics.count("beliefs_from_peers")
 
 
--- a/libs/forward/src/mimosahoist/forward/state_cache.py
+++ b/libs/forward/src/mimosahoist/forward/state_cache.py
@@ -63,12 +63,13 @@
             json_log.info("failure domains out", domains=sorted(self.fleet.domains_out))
 
     def activate_configuration(self, value: Any) -> None:
-        """Activate a configuration, unless the active one has the same or a later version."""
+        """Activate a configuration, unless it is active or the active one is a later version."""
         if not isinstance(value, Configuration):
             return
-        before = self.routes.configuration.version if self.routes is not None else None
-        if before is not None and value.version <= before:
+        active = self.routes.configuration if self.routes is not None else None
+        if active is not None and (value.version < active.version or value == active):
             return
+        before = active.version if active is not None else None
         self.routes = RouteTable(value)
         self.fleet.configure(value)
         json_log.info("configuration in force", version=value.version, before=before)
@@ -81,8 +82,18 @@
             self.fleet.remove(item.name, "no longer in the store")
 
 
+def version_of(value: Any) -> int:
+    """Version that orders values before the store's revisions do; 0 if they have none.
+
+    A store that is restored from a copy may give out an older configuration at a newer revision.
+    """
+    return value.version if isinstance(value, Configuration) else 0
+
+
 def is_newer(item: WatchedItem, cached: WatchedItem) -> bool:
     """Whether an item replaces the cached one; at the same revision a removal wins."""
-    if item.revision != cached.revision:
-        return item.revision > cached.revision
+    order = (version_of(item.value), item.revision)
+    cached_order = (version_of(cached.value), cached.revision)
+    if order != cached_order:
+        return order > cached_order
     return item.value is None and cached.value is not None
--- a/libs/forward/tests/rollout_cluster.py
+++ b/libs/forward/tests/rollout_cluster.py
@@ -112,6 +112,10 @@
         transport = MemoryPeerTransport(network, f"node-{number}", settings.failure_domain)
         self.peers = Peers(settings, transport, self.state_cache, metrics, rng)
         self.follower = StoreFollower(store, self.state_cache, 2.0, metrics, rng, self.peers)
+        self.follower.recovery_listeners.append(self.peers.publish_recovery)
+        self.peers.recovery_listeners.append(self.follower.defer_removals)
+        self.follower.synced_listeners.append(self.peers.publish_synced_revision)
+        self.peers.synced_listeners.append(self.follower.revisions.advance_to)
         self.rollouts = RolloutController(
             store, self.state_cache, self.fixture.fleet, self.peers, metrics
         )
