What a restored copy lacks counts as removed only after the time to write it again, of all kinds

What callers would see: requests to a failure domain that was taken out, for as long as the evacuation is missing after a restore; the target of a rollout gets calls without any share while its order is missing.

Cause: removals were deferred after an outage for upstreams only, whose entries expire. A copy may lack anything.

Change: every kind is deferred, by kind and name, counted from when an entry was first missing.

--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -57,6 +57,7 @@
 class PendingRemoval(NamedTuple):
     """A missing entry, and the loop time from which it counts as removed."""
 
+    kind: WatchedKind
     item: WatchedItem
     until: float
 
@@ -64,10 +65,10 @@
 class StoreFollower:
     """Lists and then watches each kind, and lists again when the watch history was discarded.
 
-    Entries that expired during a store outage may be registered again, so a missing entry counts
-    as removed only some time after the store recovers. A watch may deliver nothing for seconds
-    while changes are made, so some instances take turns to check the store's revision and list
-    what the watches missed.
+    Entries that expired during a store outage, or that the copy lacks from which the store was
+    restored, may be written again, so a missing entry counts as removed only some time after. A
+    watch may deliver nothing for seconds while changes are made, so some instances take turns to
+    check the store's revision and list what the watches missed.
 
     Only some instances watch; the others receive changes from them.
     At start most instances first wait for their peers' state, so that the number of store calls
@@ -107,7 +108,7 @@
         self.tasks = TaskSet()
         self.unavailable_since: dict[WatchedKind, float] = {}
         self.removals_deferred_until = 0.0
-        self.pending_removals: dict[str, PendingRemoval] = {}
+        self.pending_removals: dict[tuple[WatchedKind, str], PendingRemoval] = {}
         self.epoch: int | None = None
 
     async def start(self) -> None:
@@ -250,13 +251,12 @@
         self.notify_synced()
 
     def apply_changes(self, kind: WatchedKind, changes: WatchedItems) -> None:
-        """Store changes, but defer removals while expired entries may be registered again."""
+        """Store changes, but defer removals while missing entries may be written again."""
         for item in changes.items:
-            if kind is WatchedKind.UPSTREAMS:
-                pending = self.pending_removals.pop(item.name, None)
-                if item.value is None and now() < self.removals_deferred_until:
-                    self.defer_removal(item, pending)
-                    continue
+            pending = self.pending_removals.pop((kind, item.name), None)
+            if item.value is None and now() < self.removals_deferred_until:
+                self.defer_removal(kind, item, pending)
+                continue
             self.state_cache.put_if_newer(kind, item)
 
     def mark_store_unavailable(self, kind: WatchedKind, problem: Problem) -> None:
@@ -298,21 +298,23 @@
         self.removals_deferred_until = now() + self.recheck_seconds
         asyncio.get_running_loop().call_at(self.removals_deferred_until, self.apply_due_removals)
 
-    def defer_removal(self, item: WatchedItem, pending: PendingRemoval | None) -> None:
+    def defer_removal(
+        self, kind: WatchedKind, item: WatchedItem, pending: PendingRemoval | None
+    ) -> None:
         """Defer the removal of an entry, counted from when it was first missing.
 
         Instances that had lost the store reconnect one after the other; a later recovery must not
         extend the wait for an entry that is already missing.
         """
         until = pending.until if pending is not None else now() + self.recheck_seconds
-        self.pending_removals[item.name] = PendingRemoval(item, until)
+        self.pending_removals[kind, item.name] = PendingRemoval(kind, item, until)
         if pending is None:
             asyncio.get_running_loop().call_at(until, self.apply_due_removals)
 
     def apply_due_removals(self) -> None:
         """Remove the entries that were not registered again in time."""
         at = now()
-        for name, removal in list(self.pending_removals.items()):
+        for key, removal in list(self.pending_removals.items()):
             if at >= min(removal.until, self.removals_deferred_until):
-                del self.pending_removals[name]
-                self.state_cache.put_if_newer(WatchedKind.UPSTREAMS, removal.item)
+                del self.pending_removals[key]
+                self.state_cache.put_if_newer(removal.kind, removal.item)
