An upstream that leaves or is gone is not called again because a copy of the store still lists it

What callers would see: requests to an upstream that announced its departure through the store, or was removed, a few seconds before a restore, until it writes again or its entry lapses.

Cause: the copy's entry stands at a newer revision than what was known, and says `ready`.

The first entry of a later epoch that repeats what a start had reported before is taken for the copy's; any later revision of it is the upstream's own and holds, whatever it counts. An upstream that no instance had seen before a restore can't be told from one that is there; its entry lapses, or the call is refused.

--- a/libs/forward/src/mimosahoist/forward/state_cache.py
+++ b/libs/forward/src/mimosahoist/forward/state_cache.py
@@ -7,7 +7,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.forward.declarations import Configuration, UpstreamRecord
 from mimosahoist.forward.routing import RouteTable
-from mimosahoist.platform.watched import WatchedItem, WatchedKind
+from mimosahoist.platform.watched import WatchedItem, WatchedKind, epoch_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +22,10 @@
     ----------
     routes : RouteTable or None
         None until the first configuration is known.
+    last_reports : dict
+        Last known registration of each upstream, also of removed ones.
+    reports_of_copies : dict
+        Revision of each upstream's registration that was only in a copy of the store.
     listeners : list of callable
         Called with kind and item after an item changed.
     """
@@ -30,6 +34,8 @@
         self.fleet = fleet
         self.routes: RouteTable | None = None
         self.items: dict[WatchedKind, dict[str, WatchedItem]] = {kind: {} for kind in WatchedKind}
+        self.last_reports: dict[str, WatchedItem] = {}
+        self.reports_of_copies: dict[str, int] = {}
         self.listeners: list[Callable[[WatchedKind, WatchedItem], None]] = []
 
     @property
@@ -46,12 +52,36 @@
         cached = self.items[kind].get(item.name)
         if cached is not None and not is_newer(item, cached):
             return False
+        if kind is WatchedKind.UPSTREAMS and self.is_report_of_copy(item):
+            return False
         self.items[kind][item.name] = item
         self.apply(kind, item)
         for listener in self.listeners:
             listener(kind, item)
         return True
 
+    def is_report_of_copy(self, item: WatchedItem) -> bool:
+        """Whether a registration is only what the copy held from which the store was restored.
+
+        It repeats, at a revision of a later epoch, what an upstream reported earlier. One that is
+        still there reports again.
+        """
+        last = self.last_reports.get(item.name)
+        if last is None or not isinstance(item.value, UpstreamRecord):
+            return False
+        if item.revision == self.reports_of_copies.get(item.name):
+            return True
+        if epoch_of(item.revision) <= epoch_of(last.revision):
+            return False
+        is_listed = self.items[WatchedKind.UPSTREAMS][item.name].value is not None
+        reported = (item.value.started_at_ms, item.value.sequence)
+        known = (last.value.started_at_ms, last.value.sequence)
+        if not item.value.sequence or reported > known or (reported == known and is_listed):
+            return False
+        self.last_reports[item.name] = last._replace(revision=item.revision)
+        self.reports_of_copies[item.name] = item.revision
+        return True
+
     def apply(self, kind: WatchedKind, item: WatchedItem) -> None:
         """Update the routes and the upstream registry from an item."""
         if kind is WatchedKind.CONFIGURATION:
@@ -77,6 +107,7 @@
     def update_upstream(self, item: WatchedItem) -> None:
         """Add, update or remove an upstream."""
         if isinstance(item.value, UpstreamRecord):
+            self.last_reports[item.name] = item
             self.fleet.upsert(item.value)
         else:
             self.fleet.remove(item.name, "no longer in the store")
--- a/libs/forward/tests/test_restored_store.py
+++ b/libs/forward/tests/test_restored_store.py
@@ -116,6 +116,7 @@
     async def test_leaving_upstream_is_not_called_again_because_of_a_copy(self) -> None:
         await self.start()
         self.store.put(UPSTREAMS, "u1", record(1))
+        await asyncio.sleep(0.5)
         copy = self.store.copy()
         self.store.put(UPSTREAMS, "u1", record(2, leaving=True))
         await asyncio.sleep(1.0)
@@ -127,6 +128,7 @@
     async def test_upstream_that_is_gone_is_not_called_again_because_of_a_copy(self) -> None:
         await self.start()
         self.store.put(UPSTREAMS, "u1", record(3))
+        await asyncio.sleep(0.5)
         copy = self.store.copy()
         self.store.put(UPSTREAMS, "u1", None)
         await asyncio.sleep(1.0)
