A rollout that has ended stays ended if the store goes back to a copy from before

What callers would see: the store loses "completed" and holds the last step again; past the time limit the instances roll back, and all calls go to the old upstreams, which were stopped on the strength of "completed".

Cause: the stored progress is the only one; nothing remembers an outcome that was acknowledged.

A roll-back after a verdict was kept before as well, since verdicts are exchanged between instances.

Change: each instance remembers the final state of a rollout, keeps to it and writes it again in its turn. An instance that starts while it is missing follows the store until then, for some tenths of a second.

--- a/libs/forward/src/mimosahoist/forward/rollout_controller.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_controller.py
@@ -75,6 +75,9 @@
         Loop time since which the next state of a service's rollout is due to be written.
     writing : set of str
         Services whose next state is being written.
+    outcomes : dict
+        Final state of each rollout that has ended, by its key. It holds even if the store goes back
+        to a copy from before, because upstreams have been stopped on the strength of it.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         self.evidence: dict[str, RolloutEvidence] = {}
         self.due_since: dict[str, float] = {}
         self.writing: set[str] = set()
+        self.outcomes: dict[str, RolloutState] = {}
         self.logged_at = 0.0
         self.tasks = TaskSet()
         self.fact_table.register(EvidenceFacts(), self.handle_fact)
@@ -119,6 +123,9 @@
             if is_due:
                 published_at = now()
             for item in self.active():
+                if item.value.key in self.outcomes:
+                    self.advance(item)
+                    continue
                 is_urgent = item.value.state.phase in URGENT_PHASES
                 if is_due or is_urgent:
                     self.evidence[item.value.service].publish(is_urgent)
@@ -140,11 +147,16 @@
             return
         if isinstance(item.value, Rollout):
             self.apply(item.value)
-        elif self.fleet.splits.pop(item.name, None) is not None:
+        elif item.name in self.fleet.splits:
+            split = self.fleet.splits.pop(item.name)
+            self.outcomes.pop(split.rollout.key, None)
             json_log.info("rollout withdrawn", service=item.name)
 
     def apply(self, rollout: Rollout) -> None:
         """Apply a rollout and its stored progress to the split of the service's calls."""
+        if rollout.state.ended:
+            self.outcomes[rollout.key] = rollout.state
+        rollout = rollout._replace(state=self.outcomes.get(rollout.key, rollout.state))
         split = self.fleet.splits.get(rollout.service)
         if split is None or split.rollout.key != rollout.key:
             split = VersionSplit(rollout, now())
@@ -293,7 +305,9 @@
         rollout = item.value
         if not self.fleet.splits[rollout.service].knows_elapsed(now(), ELAPSED_WAIT_SECONDS):
             return
-        state = next_state(rollout, self.observe(item), self.fleet.bounds, unix_time())
+        state = self.outcomes.get(rollout.key) or next_state(
+            rollout, self.observe(item), self.fleet.bounds, unix_time()
+        )
         if state is None:
             self.due_since.pop(rollout.service, None)
             return
