A rollout whose order is written again after a restore goes on where it was

What callers would see: the target of a rollout gets a second allowance, and its time begins anew, if the order was among what the store lost.

Cause: a rollout is known by its service, its target and the creation of its object; an order that is written again has another creation.

Change: an order for the same target and time limit that appears in a later epoch, while the one before is still known, is the same rollout. Within an epoch an order that is created again stays another one. An instance that has started since and reads the order from the store before it hears of the others counts under the new creation; its counts then do not join theirs.

--- a/libs/forward/src/mimosahoist/forward/state_cache.py
+++ b/libs/forward/src/mimosahoist/forward/state_cache.py
@@ -6,6 +6,7 @@
 
 from mimosahoist.core import json_log
 from mimosahoist.forward.declarations import Configuration, UpstreamRecord
+from mimosahoist.forward.rollout import Rollout
 from mimosahoist.forward.routing import RouteTable
 from mimosahoist.platform.watched import WatchedItem, WatchedKind, epoch_of
 
@@ -26,6 +27,8 @@
         Last known registration of each upstream, also of removed ones.
     reports_of_copies : dict
         Revision of each upstream's registration that was only in a copy of the store.
+    rewritten_orders : dict
+        First creation of rollouts whose orders were written again after a restore, by their key.
     listeners : list of callable
         Called with kind and item after an item changed.
     """
@@ -36,6 +39,7 @@
         self.items: dict[WatchedKind, dict[str, WatchedItem]] = {kind: {} for kind in WatchedKind}
         self.last_reports: dict[str, WatchedItem] = {}
         self.reports_of_copies: dict[str, int] = {}
+        self.rewritten_orders: dict[str, int] = {}
         self.listeners: list[Callable[[WatchedKind, WatchedItem], None]] = []
 
     @property
@@ -52,6 +56,8 @@
         cached = self.items[kind].get(item.name)
         if cached is not None and not is_newer(item, cached):
             return False
+        if kind is WatchedKind.ROLLOUTS:
+            item = self.keep_identity(item, cached)
         if kind is WatchedKind.UPSTREAMS and self.is_report_of_copy(item):
             return False
         self.items[kind][item.name] = item
@@ -60,6 +66,22 @@
             listener(kind, item)
         return True
 
+    def keep_identity(self, item: WatchedItem, cached: WatchedItem | None) -> WatchedItem:
+        """Recognise a rollout whose order was lost with a restore and written again."""
+        order = item.value
+        if not isinstance(order, Rollout):
+            return item
+        known = cached.value if cached is not None else None
+        is_rewritten = (
+            isinstance(known, Rollout)
+            and epoch_of(item.revision) > epoch_of(cached.revision)
+            and is_same_order(order, known)
+        )
+        if is_rewritten and order.created != known.created:
+            self.rewritten_orders[order.key] = known.created
+        created = self.rewritten_orders.get(order.key, order.created)
+        return item._replace(value=order._replace(created=created))
+
     def is_report_of_copy(self, item: WatchedItem) -> bool:
         """Whether a registration is only what the copy held from which the store was restored.
 
@@ -128,3 +150,8 @@
     if order != cached_order:
         return order > cached_order
     return item.value is None and cached.value is not None
+
+
+def is_same_order(order: Rollout, known: Rollout) -> bool:
+    """Whether two rollouts ask for the same, whenever they were created."""
+    return (order.target, order.time_limit_seconds) == (known.target, known.time_limit_seconds)
