Odd text of peers, of the own store and of upstreams ends no task either

Decoders raise RecursionError for deep nesting and UnicodeDecodeError for other bytes beside their own errors; peers' state, the product's own store, reports and answers of upstreams were guarded against some of these only. Counts of versions from a peer could be infinite, which ended the evaluation of rollouts, and a member's time could be a text.

Evidence: test_odd_state_of_a_peer_is_dropped, test_odd_response_counts_as_no_response and three values in test_facts failed before.

Change: one tuple of errors, `core.json_text.DECODE_ERRORS`, wherever text of others is decoded; counts are bounded.

--- a/libs/cli/src/mimosahoist/cli/status_client.py
+++ b/libs/cli/src/mimosahoist/cli/status_client.py
@@ -10,7 +10,8 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 if TYPE_CHECKING:
-    from mimosahoist.platform.store import PlatformStore
+    from mimosahoist.core.json_text import DECODE_ERRORS
+from mimosahoist.platform.store import PlatformStore
 
 STATUS_TIMEOUT_SECONDS = 1.0
 POLL_SECONDS = 0.1
@@ -66,7 +67,7 @@
         try:
             response = await self.client.fetch(request)
             status = msgspec.json.decode(response.body)
-        except (HTTPClientError, OSError, msgspec.DecodeError):
+        except (HTTPClientError, OSError, *DECODE_ERRORS):
             status = None
         return InstanceReport(name, record["failure_domain"], record["state"], status)
 
--- a/libs/core/src/mimosahoist/core/json_text.py
+++ b/libs/core/src/mimosahoist/core/json_text.py
@@ -1,4 +1,4 @@
-"""JSON text from others: what decoding raises, and splitting, so that one odd part hides no other."""
+"""JSON text from others: errors of decoding, and splitting, so that one odd part hides no other."""
 
 from __future__ import annotations
 
--- a/libs/entry/src/mimosahoist/entry/bodies.py
+++ b/libs/entry/src/mimosahoist/entry/bodies.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from mimosahoist.core import settings
+from mimosahoist.core.json_text import DECODE_ERRORS
 from mimosahoist.core.problem import Problem, ProblemKind
 
 MAX_BODY_BYTES = 64 * 1024
@@ -54,7 +55,7 @@
             )
         settings.reject_unknown_keys(raw, kind, "body", "")
         value = msgspec.convert(raw, kind)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise bad_request(f"the body is not valid: {error}", "correct the body's JSON") from error
     except Problem as problem:
         raise bad_request(problem.message, problem.remedy) from problem
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from mimosahoist.core.hashing import hash_text
+from mimosahoist.core.json_text import DECODE_ERRORS
 from mimosahoist.core.tasks import now, unix_time
 from mimosahoist.forward.announcements import (
     ANNOUNCEMENT_PREFIX,
@@ -335,7 +336,7 @@
         try:
             kind = WatchedKind(kind_name)
             decoded = msgspec.msgpack.decode(unpack(value[2]), type=VALUE_TYPES[kind] | None)
-        except (ValueError, zlib.error, msgspec.MsgspecError):
+        except (zlib.error, *DECODE_ERRORS):
             self.metrics.count("peer_beliefs_unreadable")
             return
         if self.state_cache.put_if_newer(kind, WatchedItem(name, value[1], decoded)):
--- a/libs/forward/tests/test_peers.py
+++ b/libs/forward/tests/test_peers.py
@@ -85,6 +85,15 @@
         first.put_if_newer(WatchedKind.UPSTREAMS, WatchedItem("u1", 12, None))
         await self.eventually(lambda: all(not node.fleet.by_name for node in self.nodes))
 
+    async def test_odd_state_of_a_peer_is_dropped(self) -> None:
+        peers = self.nodes[0].peers
+        odd = (b"", b"\xff", b"\x91" * 20000, b"\xc1", b"\x81\xa4name" + b"\x91" * 20000)
+        for number, encoded in enumerate(odd):
+            for kind in WatchedKind:
+                peers.handle_state(f"belief/{kind}/odd-{number}", [0, 9, encoded])
+                self.assertNotIn(f"odd-{number}", self.nodes[0].state_cache.items[kind])
+        peers.handle_state("belief/unknown/odd", [0, 9, b"\xc0"])
+
     async def test_three_instances_are_store_watchers(self) -> None:
         await self.eventually(lambda: all(node.peers.alive_count() == 5 for node in self.nodes))
         self.assertEqual(sum(node.peers.is_store_watcher() for node in self.nodes), 3)
--- a/libs/moves/src/mimosahoist/moves/evidence.py
+++ b/libs/moves/src/mimosahoist/moves/evidence.py
@@ -32,6 +32,8 @@
 BASELINE_SAMPLES = 4
 SLOW_EXCHANGE_FACTOR = 2.5
 COUNTS_PER_RECORD = 6
+# All integers up to it are exact as floating point numbers too.
+MAX_COUNT = 1 << 53
 # Far longer than clocks differ; a record is replaced by its counts and never by its time.
 COUNTER_TTL_SECONDS = 900.0
 
@@ -160,7 +162,7 @@
         return (
             isinstance(value, list | tuple)
             and len(value) == 1 + self.length
-            and all(isinstance(item, int | float) and item >= 0 for item in value)
+            and all(isinstance(item, int | float) and 0 <= item <= MAX_COUNT for item in value)
         )
 
     def join(self, held: Any, received: Any) -> Any:
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -5,9 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
-import msgspec
-
 from mimosahoist.core import json_log
+from mimosahoist.core.json_text import DECODE_ERRORS
 from mimosahoist.core.tasks import TaskSet, now, unix_time
 from mimosahoist.peers.frames import (
     PROTOCOL_VERSION,
@@ -303,7 +302,7 @@
         """Process a frame; drop and count a malformed one or one of another cluster or protocol."""
         try:
             frame = decode_frame(data)
-        except (msgspec.DecodeError, RecursionError):
+        except DECODE_ERRORS:
             self.metrics.count("peer_frames_malformed")
             return
         if frame.protocol_version != PROTOCOL_VERSION or frame.cluster != self.identity.cluster:
--- a/libs/peers/src/mimosahoist/peers/members.py
+++ b/libs/peers/src/mimosahoist/peers/members.py
@@ -51,7 +51,8 @@
             return False
         incarnation, state, *strings, since = value
         numbers_valid = isinstance(incarnation, int) and state in iter(MemberState)
-        return numbers_valid and all(isinstance(text, str) for text in strings) and since >= 0
+        is_time = isinstance(since, int | float) and since >= 0
+        return numbers_valid and is_time and all(isinstance(text, str) for text in strings)
 
     def join(self, held: Any, received: Any) -> Any:
         """Return the record that wins."""
--- a/libs/peers/tests/test_facts.py
+++ b/libs/peers/tests/test_facts.py
@@ -41,6 +41,9 @@
     [-1] * 7,
     [-1] * 13,
     [None] * 3,
+    [float("inf")] * 7,
+    [1e300] * 7,
+    [0, 0, "p", "h", "a", "since"],
 ]
 
 
--- a/libs/platform/src/mimosahoist/platform/http_store.py
+++ b/libs/platform/src/mimosahoist/platform/http_store.py
@@ -8,6 +8,7 @@
 import msgspec
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
+from mimosahoist.core.json_text import DECODE_ERRORS
 from mimosahoist.core.problem import Problem, ProblemKind
 from mimosahoist.platform.curl_client import ClosableCurlClient
 from mimosahoist.platform.store import (
@@ -98,7 +99,7 @@
     """Decode a response body of the store."""
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise unavailable_problem(f"malformed response: {error}") from error
 
 
--- a/libs/platform/tests/test_store_contract.py
+++ b/libs/platform/tests/test_store_contract.py
@@ -10,12 +10,28 @@
 from mimosahoist.core.problem import Problem, ProblemKind
 from mimosahoist.lab.platform_model import PlatformModel
 from mimosahoist.lab.platform_server import create_platform_server
-from mimosahoist.platform.http_store import HttpPlatformStore
-from mimosahoist.platform.store import PlatformStore
+from mimosahoist.platform.http_store import HttpPlatformStore, decode
+from mimosahoist.platform.store import PlatformStore, StoredObject
 
 KEY = "organisation/a"
 
 
+class OddResponseTest(unittest.TestCase):
+    def test_odd_response_counts_as_no_response(self) -> None:
+        depth = 20000
+        bodies = (
+            b"",
+            b"\xff",
+            b'{"key":"\xff"}',
+            b'["a",1e999,{}]',
+            b'["a",1,{"x":' + b"[" * depth + b"]" * depth + b"}]",
+            b'["a",1,{},' + b"[" * depth + b"]" * depth + b"]",
+        )
+        for body in bodies:
+            with self.subTest(body[:40]), self.assertRaises(Problem):
+                decode(body, StoredObject)
+
+
 class StoreContract:
     """Tests for every store, run against the in-memory model and over HTTP."""
 
--- a/libs/query/src/mimosahoist/query/run.py
+++ b/libs/query/src/mimosahoist/query/run.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mimosahoist.core import tracing
+from mimosahoist.core.json_text import DECODE_ERRORS
 from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.core.tasks import now
 from mimosahoist.query.idempotency import Claim, Replay
@@ -199,7 +200,7 @@
         """Decode a response and verify that it matches the call."""
         try:
             response = messages.run_response_decoder.decode(reply.body)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             response = None
         if response is None or response["request"] != call.request:
             self.service.metrics.count("answers_discarded")
--- a/libs/query/src/mimosahoist/query/shard_task.py
+++ b/libs/query/src/mimosahoist/query/shard_task.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from mimosahoist.core import tracing
+from mimosahoist.core.json_text import DECODE_ERRORS
 from mimosahoist.core.tasks import now
 from mimosahoist.query.search_context import WaitingTask
 from mimosahoist.query.service import CallObservation
@@ -242,7 +241,7 @@
         """
         try:
             response = messages.search_response_decoder.decode(reply.body)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return None
         plan = self.plan
         matches = (
--- a/libs/upstream/src/mimosahoist/upstream/status_poller.py
+++ b/libs/upstream/src/mimosahoist/upstream/status_poller.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mimosahoist.core.json_text import DECODE_ERRORS
 from mimosahoist.core.tasks import now
 from mimosahoist.upstream import messages
 from mimosahoist.upstream.call import Call, CallTarget
@@ -173,7 +174,7 @@
         """Decode a status report and apply it."""
         try:
             status = messages.status_decoder.decode(reply.body)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             self.metrics.count("status_not_understood")
             return
         if not status["warm"]:
@@ -234,7 +235,7 @@
         """Update the ramp from the reply to a probe."""
         try:
             response = messages.search_response_decoder.decode(reply.body)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             self.metrics.count("answer_not_understood")
             return
         self.upstream.observe(call, response["warm"], response["incarnation"])
