Upstreams of a new version get no calls before their rollout could be known

What callers would see: for a second or so half of a service's requests go to a target version, without any share, if its upstreams are listed before the order of its rollout; they count towards what a bad version may get.

Cause: objects of different kinds reach an instance by different watches and lists, in any order, and a split exists only once the rollout is known. The class: acting on a part of what belongs together.

Evidence: test_new_version_gets_no_calls_before_its_rollout_is_known failed before.

Change: an upstream of a version that its service did not have gets no calls for two seconds, the time in which a stalled watch is found out and listed, unless the service has no others. Versions that an instance finds together at its start, and more upstreams of a known version, are used at once.

--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -25,6 +25,9 @@
     from mimosahoist.forward.version_split import VersionSplit
 
 HASH_BITS = 64
+# Time within which an instance learns of the rollout for which upstreams of a version are started,
+# also while watches deliver nothing.
+NEW_VERSION_HOLD_SECONDS = 2.0
 
 
 class UpstreamFleet:
@@ -158,7 +161,23 @@
         """Upstreams of a service that may get calls under the current version split."""
         upstreams = self.services.get(service, {}).values()
         split = self.splits.get(service)
-        return list(upstreams) if split is None else split.eligible(upstreams, now())
+        if split is not None:
+            return split.eligible(upstreams, now())
+        at = now()
+        return [item for item in upstreams if at >= item.held_until] or list(upstreams)
+
+    def hold_until(self, record: UpstreamRecord) -> float:
+        """Loop time until which an upstream gets no calls unless its service has no others.
+
+        Upstreams of a version that the service did not have may belong to a rollout that is not
+        known here yet.
+        """
+        at = now()
+        others = self.services.get(record.service, {}).values()
+        if any(item.record.version == record.version and at >= item.held_until for item in others):
+            return 0.0
+        is_established = any(at - item.listed_at > NEW_VERSION_HOLD_SECONDS for item in others)
+        return at + NEW_VERSION_HOLD_SECONDS if is_established else 0.0
 
     def upsert(self, record: UpstreamRecord) -> None:
         """Add an upstream, or apply a newer registration of it.
@@ -181,6 +200,8 @@
             self.header_names,
             self.receive_buffers,
         )
+        upstream.listed_at = now()
+        upstream.held_until = self.hold_until(record)
         upstream.divisor = self.divisor(record.service)
         upstream.announcement_listener = self.handle_announcement
         upstream.wait_listener = self.handle_wait
@@ -188,7 +209,13 @@
         self.version += 1
         self.by_name[record.name] = upstream
         self.services.setdefault(record.service, {})[record.name] = upstream
-        json_log.info("upstream listed", upstream=record.name, service=record.service)
+        json_log.info(
+            "upstream listed",
+            upstream=record.name,
+            service=record.service,
+            version=record.version,
+            held_seconds=max(0.0, round(upstream.held_until - now(), 2)),
+        )
         upstream.wait = (
             self.remembered.take_wait(record.name, record.started_at_ms) or upstream.wait
         )
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -56,6 +56,8 @@
     removed : bool
         True once the upstream was removed from the store or another instance answered at its
         address.
+    listed_at, held_until : float
+        Loop time at which it was listed, and until which it gets no calls while others can.
     applied_limit : float or None
         Announced limit that `rate_limiter` keeps to.
     rate_limiter : RateLimiter or None
@@ -88,6 +90,8 @@
         self.cold_until = 0.0
         self.cold_send_times: list[float] = []
         self.removed = False
+        self.listed_at = 0.0
+        self.held_until = 0.0
         self.announcements = UpstreamAnnouncements(record.started_at_ms)
         self.announcement_listener: Callable[[Upstream, str], None] | None = None
         self.wait = AnnouncedWait()
