Own interface: a move's weight grows only with evidence on each route

Cause: the weight was held back until enough exchanges had reached the new version, summed over all routes, and with little traffic a fiftieth of the old version's were enough. The class is that of the rollouts on the users' platform: a schedule that spends before the judgement has had its calls.

Change: each route with traffic must have had 30 exchanges in the last ten seconds, or 0.8 of what the small share gives it.

--- a/libs/moves/src/mimosahoist/moves/controller.py
+++ b/libs/moves/src/mimosahoist/moves/controller.py
@@ -23,6 +23,7 @@
 LEASE_RETRY_SECONDS = 3.0
 WARM_UP_TIME_FRACTION = 0.3
 MIN_EVIDENCE_EXCHANGES = 30
+MIN_EVIDENCE_SHARE = 0.8
 TERMINAL_PHASES = ("done", "taken-back")
 
 
@@ -194,10 +195,13 @@
         return "waiting", 0.0, "the new version's upstreams are not warm yet"
 
     def has_evidence(self, move: ActiveMove) -> bool:
-        """Return whether enough exchanges reached the new version for its weight to grow.
+        """Return whether enough exchanges on each route reached the new version.
 
-        With little traffic, a fraction of FIRST_WEIGHT of the old version's exchanges is enough;
-        without traffic none are needed.
+        Its weight grows beyond CANARY_WEIGHT only then. With little traffic, most of that share is
+        enough; without traffic no exchange is needed.
         """
-        recent = self.follower.recent_evidence(move)
-        return recent.new.total >= min(MIN_EVIDENCE_EXCHANGES, recent.old.total * FIRST_WEIGHT)
+        enough = MIN_EVIDENCE_SHARE * CANARY_WEIGHT
+        return all(
+            recent.new.total >= min(MIN_EVIDENCE_EXCHANGES, recent.old.total * enough)
+            for recent in self.follower.recent_evidence(move)
+        )
--- a/libs/moves/src/mimosahoist/moves/follower.py
+++ b/libs/moves/src/mimosahoist/moves/follower.py
@@ -171,13 +171,10 @@
         """Return the sum of all instances' counts, by route."""
         return merge_records(self.fact_table.values(f"{EVIDENCE_PREFIX}{move.name}/"))
 
-    def recent_evidence(self, move: ActiveMove) -> Window:
-        """Return the sum of all instances' counts in the long window, over all routes."""
+    def recent_evidence(self, move: ActiveMove) -> list[Window]:
+        """Return the sum of all instances' counts in the long window, of each route."""
         merged = self.merged_evidence(move)
-        recent = Window()
-        for route in merged:
-            recent = recent.plus(move.history.windows(now(), merged, route).long)
-        return recent
+        return [move.history.windows(now(), merged, route).long for route in merged]
 
     def evaluate_move(self, move: ActiveMove) -> None:
         """Publish a verdict if the evidence rejects the new version."""
--- a/libs/moves/tests/test_evidence.py
+++ b/libs/moves/tests/test_evidence.py
@@ -4,9 +4,11 @@
 
 import random
 import unittest
+from types import SimpleNamespace
 
-from mimosahoist.moves.evidence import RouteCounter
-from mimosahoist.moves.sequential_test import rejection_reason
+from mimosahoist.moves.controller import MoveController
+from mimosahoist.moves.evidence import RouteCounter, Window
+from mimosahoist.moves.sequential_test import Counts, rejection_reason
 
 TYPICAL_SECONDS = 0.03
 PAUSE_SECONDS = 0.2
@@ -34,5 +36,28 @@
         self.assertIsNone(rejection_reason(window.old, window.new))
 
 
+class StubFollower:
+    def __init__(self, *windows: Window) -> None:
+        self.windows = windows
+
+    def recent_evidence(self, move: object) -> list[Window]:
+        return list(self.windows)
+
+
+class MoveEvidenceTest(unittest.TestCase):
+    def test_weight_grows_only_with_evidence_on_each_route(self) -> None:
+        cases = {
+            "enough on both": (((400, 30), (200, 9)), True),
+            "too little on one": (((400, 30), (200, 5)), False),
+            "no traffic on one": (((400, 30), (0, 0)), True),
+            "no traffic": ((), True),
+        }
+        for name, (totals, expected) in cases.items():
+            with self.subTest(name):
+                windows = [Window(Counts(old), Counts(new)) for old, new in totals]
+                controller = SimpleNamespace(follower=StubFollower(*windows))
+                self.assertIs(MoveController.has_evidence(controller, None), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
