An instance that joins a rollout decides nothing before it has heard what the others counted

It may not yet have the counts of the others, and then takes the service for one with little traffic.

Change: it waits 1.5 s in every case.

--- a/libs/forward/src/mimosahoist/forward/rollout_controller.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_controller.py
@@ -37,8 +37,8 @@
 LATE_WRITE_STAGGER_SECONDS = 0.12
 MIN_CAPACITY_SHARE = 0.5
 LOG_INTERVAL_SECONDS = 1.0
-# Time in which an instance that starts hears from the others how long ago a rollout was ordered.
-ELAPSED_WAIT_SECONDS = 1.5
+# Time in which an instance that starts hears from all others what they have counted.
+JOINING_SECONDS = 1.5
 EXHAUSTED = "the target has had all calls that it may get before the rollout is completed"
 OVERDUE = "the time limit passed before the rollout was completed"
 
@@ -219,7 +219,7 @@
         The stored state may not follow for long, while the store is unavailable.
         """
         split = self.fleet.splits[rollout.service]
-        if split.weight <= 0.0 or not split.knows_elapsed(now(), ELAPSED_WAIT_SECONDS):
+        if split.weight <= 0.0 or not split.may_decide(now(), JOINING_SECONDS):
             return None
         seconds_left = rollout.time_limit_seconds - split.elapsed(now(), unix_time())
         if seconds_left <= 0.0:
@@ -303,7 +303,7 @@
     def advance(self, item: WatchedItem) -> None:
         """Write the next state when it is due, delayed by this instance's rank."""
         rollout = item.value
-        if not self.fleet.splits[rollout.service].knows_elapsed(now(), ELAPSED_WAIT_SECONDS):
+        if not self.fleet.splits[rollout.service].may_decide(now(), JOINING_SECONDS):
             return
         state = self.outcomes.get(rollout.key) or next_state(
             rollout, self.observe(item), self.fleet.bounds, unix_time()
--- a/libs/forward/src/mimosahoist/forward/version_split.py
+++ b/libs/forward/src/mimosahoist/forward/version_split.py
@@ -90,9 +90,9 @@
         """Whether this instance saw the rollout before any progress was stored."""
         return not self.first_seen_state.written_at
 
-    def knows_elapsed(self, at: float, patience: float) -> bool:
-        """Whether `elapsed` can be relied on, or no other instance has told in some seconds."""
-        return self.saw_order or self.latest_elapsed > 0.0 or at - self.first_seen_at >= patience
+    def may_decide(self, at: float, joining_seconds: float) -> bool:
+        """Whether this instance knows what the others have counted since the order."""
+        return self.saw_order or at - self.first_seen_at >= joining_seconds
 
     def record_elapsed(self, elapsed: float, at: float) -> None:
         """Record how long ago, by another instance, the rollout was ordered."""
