A good version is completed although an instance is killed in the last step

What callers would see: a good version is rolled back, a second before its time limit.

Cause: the last step waits for every instance that the membership calls alive, and that takes some seconds to show a death. Before the last step became short, there was time for it.

Change: an instance that has shared counts and has been silent for 0.7 s of the last step, in which counts are shared ten times a second, need not confirm. One that is only cut off then loses the calls it has at the old version, as before.

--- a/libs/forward/src/mimosahoist/forward/rollout_controller.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_controller.py
@@ -36,6 +36,8 @@
 # Towards the end little time is left to stand in for an instance that does not write.
 LATE_WRITE_STAGGER_SECONDS = 0.12
 MIN_CAPACITY_SHARE = 0.5
+# Several times the interval at which counts are shared in the last step.
+SILENT_SECONDS = 0.7
 LOG_INTERVAL_SECONDS = 1.0
 # Time in which an instance that starts hears from all others what they have counted.
 JOINING_SECONDS = 1.5
@@ -269,13 +271,25 @@
             self.fact_table.publish(key, item.revision, urgent=True)
 
     def confirmed_by_all(self, item: WatchedItem) -> bool:
-        """Whether every live instance has confirmed the revision of a rollout."""
+        """Whether every live instance has confirmed the revision of a rollout, or fell silent."""
+        rollout = item.value
         return all(
-            (self.fact_table.value(f"{CONFIRMED_PREFIX}{item.value.key}/{name}") or 0)
-            >= item.revision
+            (self.fact_table.value(f"{CONFIRMED_PREFIX}{rollout.key}/{name}") or 0) >= item.revision
+            or self.is_silent(rollout, name)
             for name in self.peers.alive_names()
         )
 
+    def is_silent(self, rollout: Rollout, name: str) -> bool:
+        """Whether an instance no longer shares its counts, so that it has most likely ended.
+
+        The last step is shorter than the time in which the membership shows that.
+        """
+        split = self.fleet.splits[rollout.service]
+        told = self.evidence[rollout.service].last_told(name)
+        elapsed = split.elapsed(now(), unix_time())
+        in_last_step = now() - split.state_changed_at
+        return told is not None and min(elapsed - told, in_last_step) > SILENT_SECONDS
+
     def has_capacity(self, split: VersionSplit) -> bool:
         """Whether the target's warm upstreams have enough slots compared to the others."""
         slots = {True: 0, False: 0}
--- a/libs/forward/src/mimosahoist/forward/rollout_evidence.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_evidence.py
@@ -112,3 +112,8 @@
         self.exposure_history.add(now(), numbers.requests)
         elapsed = self.split.elapsed(now(), unix_time())
         return Exposure(numbers, self.exposure_history.rate(numbers.requests, elapsed))
+
+    def last_told(self, instance: str) -> float | None:
+        """Seconds from the order to an instance's latest record; None if it has sent nothing."""
+        records = self.fact_table.values(f"{EXPOSURE_PREFIX}{self.key}/{instance}/")
+        return max((value[-1] for _, value in records), default=None)
--- a/libs/forward/tests/test_rollouts.py
+++ b/libs/forward/tests/test_rollouts.py
@@ -93,6 +93,20 @@
         self.assertEqual(cluster.state.phase, RolloutPhase.COMPLETED)
         await cluster.close()
 
+    async def test_rollout_completes_although_an_instance_is_killed_in_the_last_step(self) -> None:
+        for number in range(4):
+            with self.subTest(number):
+                cluster = Cluster()
+                await cluster.start()
+                while cluster.state.phase is not RolloutPhase.FINISHING:
+                    await asyncio.sleep(0.02)
+                await asyncio.sleep(0.05)
+                killed = cluster.instances.pop(number)
+                await killed.close()
+                await asyncio.sleep(3.0)
+                self.assertEqual(cluster.state.phase, RolloutPhase.COMPLETED)
+                await cluster.close()
+
     async def test_other_instances_replace_a_writer_without_store_access(self) -> None:
         cluster = Cluster()
         await cluster.start()
