--- a/libs/forward/src/mimosahoist/forward/rollout_plan.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_plan.py
@@ -32,8 +32,10 @@
 # Time kept for another instance to write the outcome, and for the store to accept it.
 COMPLETION_MARGIN_SECONDS = 1.1
 ROLLBACK_MARGIN_SECONDS = 0.5
+# Time with all traffic in which a fault under load must have had the chance to show.
 MIN_SETTLE_SECONDS = 0.8
 MAX_SETTLE_SECONDS = 1.5
+# Share of the allowance that a last step longer than necessary may take.
 SETTLE_ALLOWANCE_SHARE = 0.5
 # A slow answer is known when it arrives, or when it has taken so much longer than usual.
 SETTLE_ANSWER_MULTIPLE = 5.0
