Rollouts in large fleets: requests are counted for longer before the target gets any

What callers would see: a good version is rolled back, with 40 instances and 60 requests a second, because the small share took most of the allowance.

Cause: the small share follows from the requests a second, which are taken from the first second's counts. Forty instances hear of each other's counts later than that, so the rate seemed a fraction of what it was (share 0.2 instead of 0.05).

Evidence: on the paused clock with 40 instances, 60 a second: 0.2, then 0.01, then rolled back with 120 calls.

Change: with more than 16 instances 3.5 s are counted (0.3 of the time limit at most), long enough for the rate over a window.

--- a/libs/forward/src/mimosahoist/forward/rollout_controller.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_controller.py
@@ -313,6 +313,7 @@
             evidence.exposure(),
             evidence.find_doubt(),
             evidence.counted_here.typical_seconds,
+            self.peers.alive_count(),
         )
 
     def advance(self, item: WatchedItem) -> None:
--- a/libs/forward/src/mimosahoist/forward/rollout_plan.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_plan.py
@@ -24,8 +24,12 @@
 # Share of the reserve with which the last step is begun all the same.
 MIN_RESERVE_SHARE = 0.9
 FULL_WEIGHT = 1.0
-# Requests are counted for so long before any goes to the target.
+# Requests are counted for so long before any goes to the target; many instances take longer to
+# hear of each other's counts.
 COUNTING_SECONDS = 1.0
+LARGE_FLEET_INSTANCES = 16
+LARGE_FLEET_COUNTING_SECONDS = 3.5
+MAX_COUNTING_SHARE = 0.3
 TRIAL_SECONDS = 1.6
 # From the order to finish until all instances have learnt it and written the outcome.
 FINISHING_OVERHEAD_SECONDS = 0.3
@@ -63,6 +67,8 @@
         Why the target cannot be accepted yet, or None if nothing speaks against it.
     typical_seconds : float
         Typical time of an answer on the service's slowest route.
+    instances : int
+        Number of instances that are alive.
     """
 
     elapsed: float
@@ -73,6 +79,7 @@
     exposure: Exposure = Exposure()
     doubt: str | None = None
     typical_seconds: float = 0.0
+    instances: int = 1
 
 
 class RolloutPlan:
@@ -97,6 +104,13 @@
         wanted = min(MAX_SETTLE_SECONDS, affordable - FINISHING_OVERHEAD_SECONDS)
         return round(max(MIN_SETTLE_SECONDS, answers, wanted), 1)
 
+    @property
+    def counting_seconds(self) -> float:
+        """Seconds from the order in which requests are only counted."""
+        is_large = self.observed.instances > LARGE_FLEET_INSTANCES
+        seconds = LARGE_FLEET_COUNTING_SECONDS if is_large else COUNTING_SECONDS
+        return min(seconds, MAX_COUNTING_SHARE * (self.seconds_left + self.observed.elapsed))
+
     @property
     def seconds_to_finishing(self) -> float:
         """Seconds until all traffic may go to the target."""
@@ -117,7 +131,7 @@
             return RolloutPhase.ROLLED_BACK, 0.0
         if state.phase is RolloutPhase.FINISHING:
             return self.finishing_step()
-        if state.phase is RolloutPhase.ORDERED and observed.elapsed < COUNTING_SECONDS:
+        if state.phase is RolloutPhase.ORDERED and observed.elapsed < self.counting_seconds:
             return state.phase, state.weight
         if state.phase is RolloutPhase.TRIAL:
             return self.trial_step()
--- a/libs/forward/tests/test_rollout_plan.py
+++ b/libs/forward/tests/test_rollout_plan.py
@@ -49,6 +49,7 @@
         rolled_back = (phase.ROLLED_BACK, 0.0)
         cases = [
             ("counts before it starts", ordered, observe(0.5), (phase.ORDERED, 0.0)),
+            ("counts longer", ordered, observe(2.0, instances=40), (phase.ORDERED, 0.0)),
             ("starts", ordered, observe(1.0), (phase.RUNNING, 0.056)),
             ("canary until late", running, observe(5.0), (phase.RUNNING, 0.04)),
             ("trial", running, observe(8.5), (phase.TRIAL, 0.126)),
