--- a/libs/cli/src/mimosahoist/cli/status_client.py
+++ b/libs/cli/src/mimosahoist/cli/status_client.py
@@ -9,8 +9,9 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from mimosahoist.core.json_text import DECODE_ERRORS
+
 if TYPE_CHECKING:
-    from mimosahoist.core.json_text import DECODE_ERRORS
 from mimosahoist.platform.store import PlatformStore
 
 STATUS_TIMEOUT_SECONDS = 1.0
