--- a/libs/cli/src/mimosahoist/cli/status_client.py
+++ b/libs/cli/src/mimosahoist/cli/status_client.py
@@ -12,7 +12,7 @@
 from mimosahoist.core.json_text import DECODE_ERRORS
 
 if TYPE_CHECKING:
-from mimosahoist.platform.store import PlatformStore
+    from mimosahoist.platform.store import PlatformStore
 
 STATUS_TIMEOUT_SECONDS = 1.0
 POLL_SECONDS = 0.1
