--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,80 +1,157 @@
-"""A booking that a failing version ran and answered 503 is passed on as a promise that it has not run."""
+"""A bad version that was rolled back gets traffic again as soon as the next version is ordered."""
 
 from __future__ import annotations
 
 import asyncio
-import random
+import itertools
+import time
 
 from harness import ZONES, Deployment, Record, Reply, Request, Searcher, has_trouble, main, plain_route
 
-BOOKINGS = 400
-SEARCHERS = 7  # one of them, less than .15, fails
-FAILED_ANSWERS = 0.4
-PROMISES = (408, 421, 429, 503)
+INSTANCES = 8
+REQUESTS_PER_SECOND = 102
+SLOWDOWN = 3.0
+WORK_SECONDS = 0.167
+DURATION_SECONDS = 20.0
+LOAD_PER_S = 3
+NEXT_ORDER_SECONDS = 1.0
+DRAIN_AFTER_SECONDS = 9.0
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+ROLLBACK_SECONDS = 5.0
+BAD_ANSWERS = 50
 
 
-class Failing:
-    """Searchers of which some fail part of what they have run, with a status of their own."""
+class Watch:
+    """Requests that reached the service, and the bad answers of version v2."""
 
     def __init__(self) -> None:
-        self.rng = random.Random(11)
-        self.failing: set[str] = set()
-        self.failed = 0
-
-    async def handle(self, searcher: Searcher, request: Request) -> Reply:
-        """Run a booking; a failing searcher answers a part of its runs with 503, signed."""
-        await asyncio.sleep(searcher.work_seconds)
-        headers = searcher.stamped(request.headers["attempt-id"])
-        if searcher.name in self.failing and self.rng.random() < FAILED_ANSWERS:
-            self.failed += 1
-            return Reply(503, headers, b"the journal did not answer")
-        return Reply(200, headers, b"booked")
-
-
-async def book(deployment: Deployment, number: int, violations: list[str]) -> None:
-    """Book once; come back, as a client may, only after a promise that the booking has not run."""
-    ran = 0
-    for attempt_number in range(2):
-        instance = deployment.instances[(number + attempt_number) % len(deployment.instances)]
-        answer = await deployment.attempt(instance, f"/book/{number}", "POST", body=b"slot 9")
-        runs = deployment.runs_of(answer.attempt)
-        ran += len(runs)
-        if answer.status in PROMISES and runs:
-            violations.append(
-                f"attempt {answer.attempt} of booking {number} got {answer.status} and had run at "
-                f"a searcher that did not say Not-Executed"
+        self.arrivals: list[tuple[float, str]] = []
+        self.bad_at: list[float] = []
+        self.sent: dict[str, float] = {}
+        self.late: list[tuple[float, str, str]] = []
+
+    def arrived(self, searcher: Searcher, request: Request) -> None:
+        """Count an arrival; one at v2 may be later than the rule allows."""
+        at = time.monotonic()
+        self.arrivals.append((at, searcher.version))
+        if searcher.version != "v2" or len(self.bad_at) < BAD_ANSWERS:
+            return
+        sent = float(request.headers["sent-at"])
+        after = sent - self.bad_at[BAD_ANSWERS - 1]
+        if after > ROLLBACK_SECONDS:
+            self.late.append((after, request.headers["attempt-id"], searcher.name))
+
+    async def serve(self, searcher: Searcher, request: Request) -> Reply:
+        """Answer; v2 is several times slower under load."""
+        at = time.monotonic()
+        is_bad = searcher.version == "v2" and sum(at - 1.0 < arrival for arrival in searcher.arrivals) > LOAD_PER_S
+        await asyncio.sleep(searcher.work_seconds * (SLOWDOWN if is_bad else 1.0))
+        if is_bad:
+            self.bad_at.append(time.monotonic())
+        return Reply(200, searcher.stamped(request.headers["attempt-id"]), b"ok")
+
+
+async def order(deployment: Deployment, watch: Watch, version: str) -> list[Searcher]:
+    """Start the searchers of a version and order the rollout to it."""
+    searchers = [
+        await deployment.add_searcher(
+            Searcher(
+                f"i-desk-{version}-{zone}-{number}",
+                "desk",
+                zone,
+                deployment.record,
+                version=version,
+                slots=3,
+                work_seconds=WORK_SECONDS,
+                handler=watch.serve,
+                arrival_listener=watch.arrived,
             )
-        if answer.status not in PROMISES:
-            break
-        await asyncio.sleep(float(answer.headers.get("retry-after", "0.1")))
-    if ran > 1:
-        violations.append(f"  booking {number} has run {ran} times in all")
+        )
+        for number, zone in enumerate((*ZONES, *ZONES[:2]))
+    ]
+    if version != "v1":
+        spec = {"service": "desk", "target_version": version, "duration_s": DURATION_SECONDS}
+        deployment.store.put("rollouts", "desk", spec)
+        deployment.record.say(f"rollout of desk to {version} ordered, {DURATION_SECONDS} s")
+    return searchers
+
+
+def state(deployment: Deployment) -> str:
+    """State of the rollout, as the system wrote it."""
+    item = deployment.store.objects("rollouts")["desk"]
+    status = item["status"] or {}
+    return status.get("state", "") if status.get("target_version") == item["spec"]["target_version"] else ""
 
 
 async def case(deployment: Deployment, record: Record) -> bool:
-    """Send bookings and check each refusal against the searchers' runs."""
-    failing = Failing()
-    for number, zone in enumerate((*ZONES[:3], *ZONES)):
-        name = f"i-desk-{number}"
-        await deployment.add_searcher(Searcher(name, "desk", zone, record, slots=3, handler=failing.handle))
-    if has_trouble():
-        failing.failing = {f"i-desk-{SEARCHERS - 1}"}
+    """Order a bad version, wait until it is rolled back, and order the next one."""
+    watch = Watch()
+    await order(deployment, watch, "v1")
     deployment.configure(
         5,
-        [plain_route("desk", "/book/", "non_idempotent")],
+        [plain_route("desk", prefix, "idempotent") for prefix in ("/book/", "/move/")],
         [{"name": "desk", "health_path": "/health", "max_connections": 110}],
     )
-    await deployment.start_instances(4)
-    violations: list[str] = []
-    tasks = []
-    for number in range(BOOKINGS):
-        tasks.append(asyncio.create_task(book(deployment, number, violations)))
-        await asyncio.sleep(0.03)
+    await deployment.start_instances(INSTANCES)
+    stopped = asyncio.Event()
+    tasks: list[asyncio.Task[None]] = []
+
+    async def send() -> None:
+        started = time.monotonic()
+        for number in itertools.count():
+            if stopped.is_set():
+                return
+            path = f"/{'book' if number % 2 else 'move'}/{number}"
+            instance = deployment.instances[number * 5 // 2 % INSTANCES]
+            tasks.append(asyncio.create_task(deployment.attempt(instance, path)))
+            await asyncio.sleep(max(0.0, started + number / REQUESTS_PER_SECOND - time.monotonic()))
+
+    sender = asyncio.create_task(send())
+    await asyncio.sleep(4.0)
+    bad = await order(deployment, watch, "v2")
+    ordered = time.monotonic()
+    while state(deployment) != "rolled_back":
+        if state(deployment) == "completed" or time.monotonic() > ordered + DURATION_SECONDS + 5.0:
+            raise RuntimeError(f"v2 was not rolled back: {state(deployment)}")
+        await asyncio.sleep(0.02)
+    rolled_back = time.monotonic()
+    record.say(f"v2 rolled back after {rolled_back - ordered:.2f} s and {len(watch.bad_at)} bad answers")
+    if has_trouble():
+        await asyncio.sleep(NEXT_ORDER_SECONDS)
+        await order(deployment, watch, "v3")
+    await asyncio.sleep(rolled_back + DRAIN_AFTER_SECONDS - time.monotonic())
+    for searcher in bad:
+        deployment.register(searcher, state="draining")
+    record.say(f"v2 drains {DRAIN_AFTER_SECONDS} s after it was rolled back")
+    await asyncio.sleep(max(6.0, ordered + DURATION_SECONDS - time.monotonic()))
+    stopped.set()
+    await sender
     await asyncio.gather(*tasks)
-    for violation in violations:
-        record.say(f"BROKEN {violation}")
-    record.say(f"{BOOKINGS} bookings, {failing.failed} failed runs, {len(violations)} findings")
-    return not violations
+    record.say(f"state of the last order: {state(deployment)}")
+    return judge(watch, record, ordered, rolled_back)
+
+
+def judge(watch: Watch, record: Record, ordered: float, rolled_back: float) -> bool:
+    """Check both bounds of EXPOSURE for v2."""
+    versions = [version for at, version in watch.arrivals if ordered <= at <= ordered + DURATION_SECONDS]
+    allowed = EXPOSURE_SHARE * len(versions) + EXPOSURE_SLACK
+    got = versions.count("v2")
+    after = sum(at > rolled_back + 0.5 and version == "v2" for at, version in watch.arrivals)
+    record.say(f"from order to deadline {len(versions)} requests, {got} at v2, {allowed:.0f} allowed")
+    record.say(f"{after} requests at v2 later than 0.5 s after it was rolled back, {len(watch.bad_at)} bad answers")
+    for second in range(int(DRAIN_AFTER_SECONDS)):
+        start = rolled_back + second
+        in_second = [version for at, version in watch.arrivals if start <= at < start + 1.0]
+        record.say(f"second {second + 1} after the roll-back: {len(in_second)} requests, {in_second.count('v2')} at v2")
+    if watch.late:
+        record.say(
+            f"BROKEN {len(watch.late)} requests at v2 sent later than {ROLLBACK_SECONDS} s after its "
+            f"{BAD_ANSWERS}th bad answer, the last {max(watch.late)[0]:.2f} s after it"
+        )
+    if got > allowed:
+        record.say(f"BROKEN {got} requests at v2, {allowed:.0f} allowed")
+    return not watch.late and got <= allowed
 
 
 if __name__ == "__main__":
