--- a/review/harness.py
+++ b/review/harness.py
@@ -364,9 +364,11 @@
         self.register(searcher)
         return searcher
 
-    def register(self, searcher: Searcher, state: str = "ready", warmup_ms: int = 0) -> None:
-        """Write a searcher's entry."""
-        held = self.store.objects("servers").get(searcher.name)
+    def register(
+        self, searcher: Searcher, state: str = "ready", warmup_ms: int = 0, restarted: bool = False
+    ) -> None:
+        """Write a searcher's entry; one that has restarted was born anew."""
+        held = None if restarted else self.store.objects("servers").get(searcher.name)
         born = held["spec"]["born"] if held is not None else int(time.time() * 1000)
         spec = {
             "service": searcher.service,
@@ -382,7 +384,9 @@
         self.store.put("servers", searcher.name, spec)
         self.record.add(f"store acknowledged {searcher.name} {state} warmup_left_ms {warmup_ms}")
 
-    def configure(self, version: int, routes: list[dict[str, Any]], services: list[dict[str, Any]]) -> None:
+    def configure(
+        self, version: int, routes: list[dict[str, Any]], services: list[dict[str, Any]]
+    ) -> None:
         """Write a configuration."""
         limits = {
             "max_header_bytes": 16384,
@@ -405,7 +409,12 @@
         self.record.say(f"{count} instances ready, {len(self.searchers)} searchers")
 
     async def attempt(
-        self, instance: Instance, path: str, method: str = "GET", left_ms: int = 5000, body: bytes = b""
+        self,
+        instance: Instance,
+        path: str,
+        method: str = "GET",
+        left_ms: int = 5000,
+        body: bytes = b"",
     ) -> Answer:
         """Send one attempt of a client over a new connection, with an id of its own."""
         attempt = f"{next(self.sequence):016x}"
@@ -428,7 +437,8 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
             head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
-            head += f"Time-Remaining: {left_ms}\r\nSent-At: {time.monotonic()}\r\nContent-Length: {len(body)}\r\n\r\n"
+            head += f"Time-Remaining: {left_ms}\r\nSent-At: {time.monotonic()}\r\n"
+            head += f"Content-Length: {len(body)}\r\n\r\n"
             writer.write(head.encode() + body)
             start, headers, content = await read_message(reader)
             return int(start.split(" ")[1]), headers, content
@@ -481,8 +491,6 @@
             record.say(f"could not run: {error!r}")
         finally:
             await deployment.close()
-            if os.environ.get("LOGS"):
-                [Path(os.environ["LOGS"], i.log_path.name).write_text(i.log()) for i in deployment.instances]
             record.write()
     return code
 
