--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,7 +26,7 @@
     """Requests that reached the service, and the bad answers of version v2."""
 
     def __init__(self) -> None:
-        self.arrivals: list[tuple[float, str]] = []
+        self.arrivals: list[tuple[float, str, str]] = []
         self.bad_at: list[float] = []
         self.sent: dict[str, float] = {}
         self.late: list[tuple[float, str, str]] = []
@@ -34,7 +34,7 @@
     def arrived(self, searcher: Searcher, request: Request) -> None:
         """Count an arrival; one at v2 may be later than the rule allows."""
         at = time.monotonic()
-        self.arrivals.append((at, searcher.version))
+        self.arrivals.append((at, searcher.version, request.headers["attempt-id"]))
         if searcher.version != "v2" or len(self.bad_at) < BAD_ANSWERS:
             return
         sent = float(request.headers["sent-at"])
@@ -133,17 +133,18 @@
 
 
 def judge(watch: Watch, record: Record, ordered: float, rolled_back: float) -> bool:
-    """Check both bounds of EXPOSURE for v2."""
-    versions = [version for at, version in watch.arrivals if ordered <= at <= ordered + DURATION_SECONDS]
-    allowed = EXPOSURE_SHARE * len(versions) + EXPOSURE_SLACK
-    got = versions.count("v2")
-    after = sum(at > rolled_back + 0.5 and version == "v2" for at, version in watch.arrivals)
-    record.say(f"from order to deadline {len(versions)} requests, {got} at v2, {allowed:.0f} allowed")
-    record.say(f"{after} requests at v2 later than 0.5 s after it was rolled back, {len(watch.bad_at)} bad answers")
+    """Check both bounds of EXPOSURE for v2; the share by requests and not by repeats."""
+    in_time = [item for item in watch.arrivals if ordered <= item[0] <= ordered + DURATION_SECONDS]
+    reached = {attempt for _, _, attempt in in_time}
+    got = len({attempt for _, version, attempt in in_time if version == "v2"})
+    allowed = EXPOSURE_SHARE * len(reached) + EXPOSURE_SLACK
+    after = sum(at > rolled_back + 0.5 and version == "v2" for at, version, _ in watch.arrivals)
+    record.say(f"from order to deadline {len(reached)} requests, {got} at v2, {allowed:.0f} allowed")
+    record.say(f"{after} arrivals at v2 later than 0.5 s after it was rolled back, {len(watch.bad_at)} bad answers")
     for second in range(int(DRAIN_AFTER_SECONDS)):
         start = rolled_back + second
-        in_second = [version for at, version in watch.arrivals if start <= at < start + 1.0]
-        record.say(f"second {second + 1} after the roll-back: {len(in_second)} requests, {in_second.count('v2')} at v2")
+        in_second = [version for at, version, _ in watch.arrivals if start <= at < start + 1.0]
+        record.say(f"second {second + 1} after the roll-back: {len(in_second)} arrivals, {in_second.count('v2')} at v2")
     if watch.late:
         record.say(
             f"BROKEN {len(watch.late)} requests at v2 sent later than {ROLLBACK_SECONDS} s after its "
