A call that ended without an outcome may have run

Cause: what is known of a call began as "not reached" and became "may have run" only when the call returned. An error or a cancellation after the request was written left the first value. The class: an assumption that is safe only if nothing goes wrong between two lines.

The same elsewhere: searches over shards (an error in a call, or of a delegate) ended as "not run"; a delegate's 502 or 504 was read as its refusal, although its calls may have run; an upstream's connection stayed counted as open after an error.

Ruled out: a second send after the request was written (there is none), and the caller's cancellation (its answer goes nowhere).

Change: a call counts as one that may have run as soon as it ends without proof of the contrary, before anything else can fail. `Upstream.perform` turns an unforeseen error into an outcome: `Unreached` while no connection is open, `Lost` after that, and the connection is closed. Event `call raised`.

--- a/libs/forward/src/mimosahoist/forward/delegated_gather.py
+++ b/libs/forward/src/mimosahoist/forward/delegated_gather.py
@@ -14,7 +14,7 @@
     decode_shards,
 )
 from mimosahoist.forward.engine import certainly_not_run
-from mimosahoist.forward.outcomes import Answered, CallOutcome, Unreached
+from mimosahoist.forward.outcomes import Answered
 from mimosahoist.forward.shard_search import Part
 
 if TYPE_CHECKING:
@@ -94,8 +94,7 @@
         """Collect the parts that another instance fetches, polling for those still pending."""
         task = asyncio.current_task()
         pending = {shard.service: shard for shard in group}
-        outcome: CallOutcome = Unreached("cancelled")
-        may_have_run = False
+        may_have_run = True
         try:
             outcome = await self.delegation.fetch_parts(delegate, self.request, delay, first=True)
             may_have_run = not certainly_not_run(outcome)
@@ -107,9 +106,10 @@
         finally:
             for shard in pending.values():
                 shard.calls.pop(task, None)
+                shard.runs += may_have_run
             self.search.changed.set()
         for shard in pending.values():
-            self.record_delegated_failure(shard, "", may_have_run, may_have_run)
+            self.replace_failed_call(shard, may_have_run)
 
     def accept_update(
         self, answer: Answered, pending: dict[str, ShardSearch], task: asyncio.Task[None] | None
@@ -159,6 +159,16 @@
         shard.runs += may_have_run
         if upstream:
             shard.tried.add(upstream)
+        self.replace_failed_call(shard, was_sent)
+
+    def replace_failed_call(self, shard: ShardSearch, was_sent: bool) -> None:
+        """Replace a shard's failed call, unless it is no longer needed.
+
+        Parameters
+        ----------
+        was_sent : bool
+            Whether the call arrived at an upstream, so that its replacement is a repeat.
+        """
         if not was_sent:
             shard.sends -= 1
         if shard.part is None and not shard.calls and not self.search.is_over:
--- a/libs/forward/src/mimosahoist/forward/delegation.py
+++ b/libs/forward/src/mimosahoist/forward/delegation.py
@@ -15,7 +15,7 @@
 
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.engine import certainly_not_run
-from mimosahoist.forward.outcomes import Answered, CallOutcome, Parts, Refused
+from mimosahoist.forward.outcomes import Answered, CallOutcome, LossKind, Lost, Parts, Refused
 
 if TYPE_CHECKING:
     from mimosahoist.forward.engine import ForwardEngine
@@ -204,7 +204,8 @@
         outcome = await delegate.target.call(replace(request, headers=headers), request.deadline)
         self.relays.record_outcome(delegate.target, outcome)
         if isinstance(outcome, Answered) and PENDING_SHARDS_HEADER not in outcome.headers:
-            return Refused(outcome.status)
+            # The other instance failed after it had started the calls, or while it did.
+            return Lost(LossKind.MALFORMED)
         return outcome
 
 
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -26,6 +26,8 @@
     CallOutcome,
     Failed,
     Gathered,
+    LossKind,
+    Lost,
     NotRun,
     Refused,
     RequestOutcome,
@@ -203,11 +205,12 @@
     async def call(self, shard: ShardSearch, upstream: Upstream) -> None:
         """Make one call, and replace it if it failed."""
         task = asyncio.current_task()
-        outcome: CallOutcome = Unreached("cancelled")
+        outcome: CallOutcome = Lost(LossKind.ABANDONED)
         try:
             outcome = await self.engine.call(upstream, self.request, self.request.deadline)
         finally:
             shard.calls.pop(task, None)
+            shard.runs += not certainly_not_run(outcome)
             self.changed.set()
         if isinstance(outcome, Unreached):
             shard.sends -= 1
@@ -215,8 +218,6 @@
             part = Part(outcome.body, [outcome.headers[self.engine.header_names.signature]])
             shard.part = shard.part or part
             return
-        if not certainly_not_run(outcome):
-            shard.runs += 1
         self.log_failed_call(shard, upstream, outcome)
         if shard.part is None and not self.is_over:
             if isinstance(outcome, Refused):
--- a/libs/forward/src/mimosahoist/forward/outcomes.py
+++ b/libs/forward/src/mimosahoist/forward/outcomes.py
@@ -18,6 +18,7 @@
     MALFORMED = "malformed"
     FOREIGN = "foreign"
     ABANDONED = "abandoned"
+    ERROR = "error"
 
 
 @dataclass(frozen=True)
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -13,6 +13,8 @@
     CallOutcome,
     Failed,
     Forwarded,
+    LossKind,
+    Lost,
     NotRun,
     RequestOutcome,
     Unreached,
@@ -39,7 +41,7 @@
     answered_by : str
         Upstream of the latest answer.
     runs : int
-        Completed calls that may have run.
+        Ended calls that may have run, also those that ended without an outcome.
     request_counted : bool
         Whether the request is counted in the service's repeat budget.
     """
@@ -112,16 +114,15 @@
     async def call(self, upstream: Upstream) -> None:
         """Make one call, then try another upstream if allowed."""
         task = asyncio.current_task()
-        outcome: CallOutcome = Unreached("cancelled")
+        outcome: CallOutcome = Lost(LossKind.ABANDONED)
         try:
             outcome = await self.engine.call(upstream, self.request, self.request.deadline)
         finally:
             self.calls.discard(task)
+            self.runs += not certainly_not_run(outcome)
             self.changed.set()
         if isinstance(outcome, Unreached):
             self.sends -= 1
-        if not certainly_not_run(outcome):
-            self.runs += 1
         if isinstance(outcome, Answered) and self.answer is None:
             self.answered_by = upstream.record.name
             self.accept_answer(outcome)
--- a/libs/forward/src/mimosahoist/forward/shard_search.py
+++ b/libs/forward/src/mimosahoist/forward/shard_search.py
@@ -27,7 +27,7 @@
     Attributes
     ----------
     runs : int
-        Failed calls that may have run.
+        Ended calls that may have run, also those that ended without an outcome.
     request_counted : bool
         Whether the request is counted in the service's repeat budget.
     next_send : float
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -232,9 +232,27 @@
             try:
                 async with asyncio.timeout_at(connect_until):
                     connection = await self.pool.open()
-            except (StreamClosedError, OSError, TimeoutError) as error:
+            except Exception as error:
+                # Nothing has been written yet, whatever the error is.
                 return Unreached(type(error).__name__)
         self.active_connections[number] = connection
+        try:
+            outcome = await self.exchange(connection, request, until)
+        except Exception as error:
+            # The request may have been written, whatever the error is.
+            outcome = Lost(LossKind.ERROR)
+            reason = repr(error)[:MAX_LOGGED_REASON_CHARACTERS]
+            json_log.info(
+                "call raised", request=request.id, upstream=self.record.name, error=reason
+            )
+        self.active_connections.pop(number, None)
+        self.release(connection, isinstance(outcome, Lost))
+        return outcome
+
+    async def exchange(
+        self, connection: UpstreamConnection, request: CallerRequest, until: float
+    ) -> CallOutcome:
+        """Run one exchange on a connection and classify its outcome."""
         sent = now()
         try:
             async with asyncio.timeout_at(until):
@@ -246,11 +264,8 @@
                     lambda status, headers: self.handle_head(status, headers, request, sent),
                 )
         except TimeoutError:
-            outcome = Lost(LossKind.TIMEOUT)
-        self.active_connections.pop(number, None)
-        outcome = self.classify_outcome(outcome, request)
-        self.release(connection, isinstance(outcome, Lost))
-        return outcome
+            return Lost(LossKind.TIMEOUT)
+        return self.classify_outcome(outcome, request)
 
     async def accepts_connection(self) -> bool:
         """Whether the upstream accepts a new connection, which is pooled for the next call.
--- a/libs/forward/tests/test_connection.py
+++ b/libs/forward/tests/test_connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from fakes import HEADER_NAMES, gathering_route
 from tornado.httputil import HTTPHeaders
@@ -178,6 +179,19 @@
         self.assertIsInstance(await self.call(upstream), Unreached)
         self.assertEqual((upstream.pool.open_count, upstream.in_flight), (0, {}))
 
+    async def test_call_that_raises_an_error_after_its_request_was_sent_may_have_run(self) -> None:
+        upstream = await self.upstream((COMPLETE, KEEP))
+        upstream.update_from_headers = mock.Mock(side_effect=ZeroDivisionError)
+        self.assertEqual(await self.call(upstream), Lost(LossKind.ERROR))
+        self.assertEqual(len(self.scripted.requests), 1)
+        self.assertEqual((upstream.pool.open_count, upstream.active_connections), (0, {}))
+
+    async def test_call_that_raises_an_error_before_a_connection_is_open_did_not_run(self) -> None:
+        upstream = await self.upstream((COMPLETE, KEEP))
+        upstream.pool.address = f"{'a' * 100}:80"
+        self.assertIsInstance(await self.call(upstream), Unreached)
+        self.assertEqual((upstream.pool.open_count, upstream.in_flight), (0, {}))
+
     async def test_cancelled_call_closes_its_connection(self) -> None:
         upstream = await self.upstream((b"", KEEP))
         task = asyncio.create_task(self.call(upstream))
--- a/libs/forward/tests/test_delegation.py
+++ b/libs/forward/tests/test_delegation.py
@@ -21,7 +21,7 @@
     encode_shards,
 )
 from mimosahoist.forward.dispatcher import Dispatcher
-from mimosahoist.forward.outcomes import Gathered, Refused
+from mimosahoist.forward.outcomes import Answered, Failed, Gathered, Refused
 from mimosahoist.forward.relay import VERSION_HEADER, RelayClient
 from mimosahoist.forward.relay_server import RelayDispatcher
 from mimosahoist.forward.routing import RouteTable
@@ -238,6 +238,24 @@
                 self.assert_complete(await self.search())
                 self.assertEqual((self.other.arrivals, self.own_arrivals()), (0, SHARDS))
 
+    async def test_search_whose_delegate_fails_is_not_reported_as_not_run(self) -> None:
+        async def fail(request: object, until: float) -> Answered:
+            return Answered(502, "", HTTPHeaders(), b"", 0.0)
+
+        headers = HTTPHeaders(
+            {"Host": "h", HEADER_NAMES.request_id: "r1", HEADER_NAMES.time_left: "600"}
+        )
+        errors = {"response": fail, "error": mock.AsyncMock(side_effect=ZeroDivisionError)}
+        for name, call in errors.items():
+            with self.subTest(name):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                for upstream in self.own.fleet.by_name.values():
+                    upstream.script = lambda number: (0.01, Refused(503))
+                self.relays.pick_target("a").call = call
+                outcome = await self.dispatcher.dispatch("GET", "/x/1", headers, b"")
+                self.assertIsInstance(outcome, Failed)
+
     async def test_late_delegated_parts_replace_hedged_ones_without_duplicates(self) -> None:
         target = self.relays.pick_target("a")
         call = target.call
--- a/libs/forward/tests/test_gather.py
+++ b/libs/forward/tests/test_gather.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from itertools import pairwise
+from unittest import mock
 
 from fakes import HEADER_NAMES, EngineFixture, answered, fast_answers, gathering_route, plain_route
 
@@ -160,6 +161,13 @@
         self.assertGreater(outcome.retry_after, 0.0)
         self.assertEqual(now(), 0.0)
 
+    async def test_search_whose_calls_raised_errors_is_not_reported_as_not_run(self) -> None:
+        fixture = EngineFixture(AMPLE_BUDGET)
+        upstream = fixture.add("s0", "a")
+        upstream.perform = mock.AsyncMock(side_effect=ZeroDivisionError)
+        search = ScatterGather(fixture.engine, fixture.request(gathering_route(1)))
+        self.assertIsInstance(await search.run(), Failed)
+
     async def test_no_call_is_hedged_without_budget(self) -> None:
         fixture = EngineFixture(SharedBounds(repeat_ratio=0.0, repeat_slack=0.0))
         first = fixture.add("s0", "a", lambda number: (0.1, answered("s0-a", b"x" * 16)))
--- a/libs/forward/tests/test_plain.py
+++ b/libs/forward/tests/test_plain.py
@@ -26,6 +26,11 @@
 DID_NOT_RUN = [Refused(503), Refused(421, other_instance=True), Unreached("refused")]
 
 
+async def raise_unforeseen_error(*arguments: object) -> None:
+    await asyncio.sleep(0.01)
+    raise ZeroDivisionError
+
+
 class PlainForwardTest(PausedTestCase):
     async def test_call_that_fails_after_its_caller_left_is_not_replaced(self) -> None:
         fixture = EngineFixture(AMPLE_BUDGET)
@@ -85,6 +90,24 @@
             fixture.add("desk", domain, lambda n: (0.001, Refused(503)))
         self.assertIsInstance(await self.forward(fixture, NON_IDEMPOTENT), NotRun)
 
+    async def test_call_that_raised_an_error_is_not_reported_as_not_run(self) -> None:
+        for kind in RouteKind:
+            with self.subTest(kind=kind):
+                fixture = EngineFixture(AMPLE_BUDGET)
+                upstream = fixture.add("desk", "a")
+                upstream.perform = raise_unforeseen_error
+                self.assertIsInstance(await self.forward(fixture, kind), Failed)
+
+    async def test_call_that_an_instance_cancels_as_it_ends_is_not_reported_as_not_run(
+        self,
+    ) -> None:
+        fixture = EngineFixture(AMPLE_BUDGET)
+        fixture.add("desk", "a", lambda n: (0.0, None))
+        task = asyncio.create_task(self.forward(fixture, NON_IDEMPOTENT))
+        await asyncio.sleep(0.05)
+        await fixture.engine.tasks.close()
+        self.assertIsInstance(await task, Failed)
+
     async def test_timeout_is_reported_at_the_route_timeout(self) -> None:
         fixture = EngineFixture(AMPLE_BUDGET)
         fixture.add("desk", "a", lambda n: (0.0, None))
