One parser for decimal numbers in text from others

A request of their own with such a digit in Time-Remaining got no answer at all, one in Content-Length a closed connection; an instance whose peer sent one ended the request without an answer.

Cause: `str.isdigit` also holds for superscript digits and those of other scripts, `int` raises for the former and for more than 4,300 digits, and takes signs, spaces and underscores; `float` takes words. Headers are bytes read as Latin-1, where 0xB2, 0xB3 and 0xB9 are such digits: a 2, 3 or 9 with its top bit set. The test stood in seven files, each with a guard of its own.

A length that is no number is left to Tornado, which answers 400.

--- a/libs/entry/src/mimosahoist/entry/handlers.py
+++ b/libs/entry/src/mimosahoist/entry/handlers.py
@@ -9,6 +9,7 @@
 import tornado.web
 
 from mimosahoist.core import tracing
+from mimosahoist.core.decimal_text import parse_integer
 from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.core.tasks import now
 from mimosahoist.entry import bodies
@@ -43,8 +44,9 @@
         """Reject a body whose declared length is too large before reading it."""
         self.app.open_requests += 1
         self.counted_open = True
-        length = self.request.headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > bodies.MAX_BODY_BYTES:
+        # Tornado rejects a length that is no number.
+        length = parse_integer(self.request.headers.get("Content-Length", "0")) or 0
+        if length > bodies.MAX_BODY_BYTES:
             self.set_header("Connection", "close")
             raise too_large()
 
--- a/libs/entry/tests/test_http.py
+++ b/libs/entry/tests/test_http.py
@@ -92,6 +92,15 @@
     def upstream_calls(self) -> int:
         return self.app.metrics.counters["shard_calls"] + self.app.metrics.counters["run_calls"]
 
+    async def test_length_in_digits_of_another_script_is_a_bad_request(self) -> None:
+        host, _, port = self.http.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        head = "POST /v1/small/docs/search HTTP/1.1\r\nHost: h\r\nContent-Length: ³\r\n\r\n"
+        writer.write(head.encode("latin-1"))
+        response = await asyncio.wait_for(reader.read(), 2.0)
+        self.assertTrue(response.startswith(b"HTTP/1.1 400 "), response)
+
     async def test_search_answers_with_coverage(self) -> None:
         status, value = await self.send(msgspec.json.encode(VALID_SEARCH))
         self.assertEqual(status, 200)
--- a/libs/forward/src/mimosahoist/forward/admission.py
+++ b/libs/forward/src/mimosahoist/forward/admission.py
@@ -4,9 +4,12 @@
 
 from dataclasses import dataclass
 
+from mimosahoist.core.decimal_text import parse_integer
+
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
-MAX_TIME_LEFT_DIGITS = 9
+MILLISECONDS_PER_SECOND = 1000
+MAX_TIME_LEFT_MILLISECONDS = 10**9 - 1
 
 
 @dataclass(frozen=True)
@@ -23,6 +26,5 @@
 
 def parse_time_left(value: str | None) -> float | None:
     """Seconds for which the caller still waits, or None if its header is missing or invalid."""
-    if value is None or not value.isdigit() or len(value) > MAX_TIME_LEFT_DIGITS:
-        return None
-    return int(value) / 1000
+    milliseconds = parse_integer(value or "", MAX_TIME_LEFT_MILLISECONDS)
+    return None if milliseconds is None else milliseconds / MILLISECONDS_PER_SECOND
--- a/libs/forward/src/mimosahoist/forward/announcements.py
+++ b/libs/forward/src/mimosahoist/forward/announcements.py
@@ -10,9 +10,9 @@
 from __future__ import annotations
 
 import math
-import re
 from typing import Any, NamedTuple
 
+from mimosahoist.core.decimal_text import parse_decimal
 from mimosahoist.peers.facts import FactKind
 
 ANNOUNCEMENT_PREFIX = "announced/"
@@ -20,8 +20,6 @@
 ANNOUNCEMENT_TTL_SECONDS = 600.0
 # No upstream serves this many requests per second, so a greater limit is an error of the upstream.
 MAX_LIMIT_PER_SECOND = 1e6
-# Python's float() also accepts digits of other scripts, underscores and words such as "nan".
-DECIMAL_NUMBER = re.compile(r"[+-]?(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?", re.ASCII)
 # An upstream may compute its limit anew for each response, and every change is sent to all
 # instances: small ones are ignored, and a limit that alternates is not followed upwards each time.
 IGNORED_CHANGE_SHARE = 0.1
@@ -269,9 +267,9 @@
     MalformedAnnouncement
         If the value is not a decimal number, or is negative or greater than any limit.
     """
-    if not DECIMAL_NUMBER.fullmatch(value.strip()):
+    number = parse_decimal(value)
+    if number is None:
         raise MalformedAnnouncement(f"not a number: '{value}'")
-    number = float(value)
     if not 0.0 <= number <= MAX_LIMIT_PER_SECOND:
         raise MalformedAnnouncement(f"not between 0 and {MAX_LIMIT_PER_SECOND:.0f}: '{value}'")
     return number
--- a/libs/forward/src/mimosahoist/forward/connection.py
+++ b/libs/forward/src/mimosahoist/forward/connection.py
@@ -13,6 +13,7 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import IOStream, StreamClosedError
 
+from mimosahoist.core.decimal_text import parse_integer
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.outcomes import Answered, LossKind, Lost
 from mimosahoist.forward.receive_buffers import MAX_RESPONSE_BYTES
@@ -38,6 +39,7 @@
 KEEPALIVE_PROBES = 2
 KEEP_ALIVE_MARGIN_SECONDS = 0.3
 DEFAULT_KEEP_ALIVE_SECONDS = 30.0
+MAX_KEEP_ALIVE_SECONDS = 24 * 3600
 
 
 class UpstreamStream(IOStream):
@@ -244,15 +246,16 @@
         self.usable_until = now() + keep_alive_seconds(headers.get("Keep-Alive", ""))
 
 
-def keep_alive_seconds(value: str) -> float:
+def keep_alive_seconds(header: str) -> float:
     """Seconds for which an idle connection may be reused, from a ``Keep-Alive`` header.
 
     A margin is subtracted, so that no request is sent just as the upstream closes.
     """
-    for item in value.split(","):
-        name, _, seconds = item.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdigit():
-            return max(0.0, int(seconds) - KEEP_ALIVE_MARGIN_SECONDS)
+    for item in header.split(","):
+        name, _, value = item.strip().partition("=")
+        seconds = parse_integer(value, MAX_KEEP_ALIVE_SECONDS)
+        if name.lower() == "timeout" and seconds is not None:
+            return max(0.0, seconds - KEEP_ALIVE_MARGIN_SECONDS)
     return DEFAULT_KEEP_ALIVE_SECONDS
 
 
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -16,6 +16,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mimosahoist.core import json_log
+from mimosahoist.core.decimal_text import parse_integer
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.admission import Refusal
 from mimosahoist.forward.delegation import (
@@ -163,10 +164,11 @@
         self.headers = headers
         limits = self.frontend.dispatcher.limits
         size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
-        length = headers.get("Content-Length", "0")
+        # Tornado rejects a length that is no number.
+        length = parse_integer(headers.get("Content-Length", "0")) or 0
         if size + len(start_line.path) > limits.header_bytes:
             self.refuse(STATUS_HEADERS_TOO_LARGE)
-        elif length.isdigit() and int(length) > limits.body_bytes:
+        elif length > limits.body_bytes:
             self.refuse(STATUS_TOO_LARGE)
         else:
             seconds = limits.header_timeout
--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from mimosahoist.core import json_log
+from mimosahoist.core.decimal_text import parse_decimal, parse_integer
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import ServiceLimits, UpstreamRecord
 from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
@@ -226,8 +227,9 @@
             return Forwarded(answer)
         if not answer.is_success:
             reason = answer.body.decode(errors="replace")
-            if ATTEMPTED_HEADER in answer.headers:
-                return NotRun(reason, float(answer.headers["Retry-After"]), was_attempted=True)
+            retry_after = parse_decimal(answer.headers.get("Retry-After", ""))
+            if ATTEMPTED_HEADER in answer.headers and retry_after is not None:
+                return NotRun(reason, retry_after, was_attempted=True)
             return Failed(reason, answer.status == STATUS_GATEWAY_TIMEOUT)
         header_names = self.engine.header_names
         signatures = [
@@ -235,8 +237,10 @@
             for value in answer.headers.get_list(header_names.part_signatures)
             for signature in value.split(",")
         ]
-        missing = answer.headers.get(header_names.missing_parts, "0")
-        return Gathered(answer.body, signatures, int(missing))
+        missing = parse_integer(answer.headers.get(header_names.missing_parts, "0"))
+        if missing is None:
+            return Failed("another instance's answer does not say how many parts are missing")
+        return Gathered(answer.body, signatures, missing)
 
     def close(self) -> None:
         """Close the connections to all targets."""
--- a/libs/forward/src/mimosahoist/forward/relay_server.py
+++ b/libs/forward/src/mimosahoist/forward/relay_server.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from mimosahoist.core.decimal_text import parse_decimal
 from mimosahoist.forward.admission import Refusal
 from mimosahoist.forward.delegation import ANSWER_WITHIN_HEADER, SHARDS_HEADER, DelegatedCalls
 from mimosahoist.forward.dispatcher import Dispatcher
@@ -27,6 +28,7 @@
 UNKNOWN_SHARDS = Refusal(
     400, "requested shards are not part of the route; compare configuration versions"
 )
+NO_TIME_TO_ANSWER = Refusal(400, "the time within which to answer is not a number of seconds")
 
 
 class RelayDispatcher(Dispatcher):
@@ -76,18 +78,21 @@
     async def execute(self, request: CallerRequest) -> RequestOutcome | Refusal:
         """Start or poll delegated calls if requested, or execute the whole request."""
         encoded_shards = request.headers.pop(SHARDS_HEADER, "")
-        seconds = request.headers.pop(ANSWER_WITHIN_HEADER, "")
-        if not seconds:
+        answer_within = request.headers.pop(ANSWER_WITHIN_HEADER, "")
+        if not answer_within:
             return await super().execute(request)
+        seconds = parse_decimal(answer_within)
+        if seconds is None:
+            return NO_TIME_TO_ANSWER
         if not encoded_shards:
-            return await self.poll_unfinished(request, float(seconds))
+            return await self.poll_unfinished(request, seconds)
         shards = encoded_shards.split(",")
         if not set(shards) <= set(request.route.shards):
             return UNKNOWN_SHARDS
         calls = DelegatedCalls(self.engine, request, shards)
         calls.start()
         self.unfinished[request.id] = calls
-        return await self.poll(request.id, calls, float(seconds), len(shards))
+        return await self.poll(request.id, calls, seconds, len(shards))
 
     async def poll_unfinished(
         self, request: CallerRequest, seconds: float
--- a/libs/forward/src/mimosahoist/forward/reported_load.py
+++ b/libs/forward/src/mimosahoist/forward/reported_load.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from mimosahoist.core.decimal_text import parse_integer
+
+MAX_REPORTED_REQUESTS = 1_000_000
+
 
 class ReportedLoad:
     """Most recent load that an upstream reported."""
@@ -15,8 +19,8 @@
     @classmethod
     def parse(cls, value: str, at: float) -> ReportedLoad | None:
         """Parse ``running,waiting,slots``; return None if the value is malformed."""
-        fields = value.split(",")
-        if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+        numbers = [parse_integer(field, MAX_REPORTED_REQUESTS) for field in value.split(",")]
+        if len(numbers) != 3 or None in numbers:
             return None
-        running, waiting, slots = map(int, fields)
+        running, waiting, slots = numbers
         return cls(running, waiting, max(1, slots), at)
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -10,6 +10,7 @@
 from tornado.iostream import StreamClosedError
 
 from mimosahoist.core import json_log
+from mimosahoist.core.decimal_text import parse_integer
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.announcement_headers import parse_announcements
 from mimosahoist.forward.announcements import AnnouncedWait, UpstreamAnnouncements
@@ -41,6 +42,7 @@
 STATUS_MISDIRECTED = 421
 LOAD_REPORT_TTL_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
+MAX_COLD_MILLISECONDS = 3600 * MILLISECONDS_PER_SECOND
 MAX_LOGGED_REASON_CHARACTERS = 120
 
 
@@ -337,9 +339,9 @@
         load = headers.get(self.header_names.load)
         if load is not None:
             self.load = ReportedLoad.parse(load, at) or self.load
-        cold = headers.get(self.header_names.cold_left, "")
-        if cold.isdigit() and int(cold) > 0:
-            self.cold_until = max(self.cold_until, at + int(cold) / MILLISECONDS_PER_SECOND)
+        cold = parse_integer(headers.get(self.header_names.cold_left, ""), MAX_COLD_MILLISECONDS)
+        if cold:
+            self.cold_until = max(self.cold_until, at + cold / MILLISECONDS_PER_SECOND)
 
     def handle_head(
         self, status: int, headers: HTTPHeaders, request: CallerRequest, sent: float
--- a/libs/forward/tests/test_connection.py
+++ b/libs/forward/tests/test_connection.py
@@ -143,6 +143,48 @@
         other = await self.upstream((response("421 Misdirected"), KEEP))
         self.assertEqual(await self.call(other), Refused(421, other_instance=True))
 
+    async def test_answer_with_a_spoiled_number_in_its_head_is_not_lost(self) -> None:
+        upstream = await self.upstream((COMPLETE, KEEP))
+        numbers = [
+            "0,0,³",
+            "0,0",
+            "³",
+            "1³",
+            "9" * 5000,
+            "+1",
+            "1_0",
+            "-1",
+            "nan",
+            "1e400",
+            "",
+        ]
+        names = ["X-Load", "X-Cold-Left", "X-Limit", "X-Leaving", "Retry-After", "Keep-Alive"]
+        for name in names:
+            for number in numbers:
+                with self.subTest(name, number=number[:9]):
+                    value = f"timeout={number}" if name == "Keep-Alive" else number
+                    line = f"{name}: {value}\r\n".encode("latin-1")
+                    self.scripted.scripts = [(response("200 OK", SIGNED + line, b"body"), KEEP)]
+                    outcome = await self.call(upstream)
+                    self.assertIsInstance(outcome, Answered)
+                    self.assertEqual(outcome.body, b"body")
+        self.assertEqual(upstream.pool.open_count, len(upstream.pool.idle))
+
+    async def test_answer_with_one_bit_of_its_head_flipped_is_never_taken_as_not_run(
+        self,
+    ) -> None:
+        headers = SIGNED + b"X-Load: 3,2,4\r\nX-Cold-Left: 50\r\nKeep-Alive: timeout=5\r\n"
+        sound = response("200 OK", headers, b"body")
+        upstream = await self.upstream((sound, CLOSE))
+        for bit in range(8 * (len(sound) - len(b"body"))):
+            spoiled = bytearray(sound)
+            spoiled[bit // 8] ^= 1 << bit % 8
+            self.scripted.scripts = [(bytes(spoiled), CLOSE)]
+            outcome = await self.call(upstream, seconds=0.2)
+            self.assertIsInstance(outcome, Answered | Lost, bytes(spoiled))
+            self.assertNotEqual(outcome, Lost(LossKind.ERROR), bytes(spoiled))
+            self.assertEqual(upstream.pool.open_count, len(upstream.pool.idle))
+
     async def test_surplus_response_is_not_matched_to_the_next_request(self) -> None:
         extra = response("200 OK", SIGNED + b"X-Request-Id: r1\r\n", b"extra")
         upstream = await self.upstream((COMPLETE + extra, KEEP), (COMPLETE, KEEP))
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -52,7 +52,7 @@
         self, path: str = "/x/1", more: str = "", body: bytes = b""
     ) -> tuple[int, str]:
         reader, writer = await self.connect()
-        writer.write(GET.format(path=path, more=more).encode() + body)
+        writer.write(GET.format(path=path, more=more).encode("latin-1") + body)
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         return int(head.split()[1]), head
 
@@ -61,6 +61,8 @@
             ("no route", {"path": "/other/1"}, 404),
             ("headers too large", {"more": f"X-Much: {'x' * 3000}\r\n"}, 431),
             ("length too large", {"more": "Content-Length: 2000\r\n"}, 413),
+            ("length in other digits", {"more": "Content-Length: ³\r\n"}, 400),
+            ("length without end", {"more": f"Content-Length: {'1' * 1500}\r\n"}, 400),
             (
                 "chunks too large",
                 {
@@ -75,6 +77,15 @@
                 self.assertEqual((await self.request(**request))[0], status)
         self.assertEqual(self.upstream.arrivals, [])
 
+    async def test_request_whose_time_left_is_no_number_is_answered(self) -> None:
+        for value in ("³", "1³", "-5", "9" * 40, "x"):
+            with self.subTest(value):
+                reader, writer = await self.connect()
+                head = GET.format(path="/x/1", more="").replace("3000", value)
+                writer.write(head.encode("latin-1"))
+                response = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+                self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
+
     async def test_incomplete_headers_get_408(self) -> None:
         at = asyncio.get_running_loop().time()
         idle, _ = await self.connect()
--- a/libs/forward/tests/test_relay.py
+++ b/libs/forward/tests/test_relay.py
@@ -232,6 +232,38 @@
             await asyncio.sleep(0.01)
         self.assertEqual(self.near.frontend.open_requests, 0)
 
+    async def test_odd_number_in_the_answer_of_another_instance_ends_a_request_as_failed(
+        self,
+    ) -> None:
+        attempted = {"X-Was-Attempted": "1"}
+        signed = {HEADER_NAMES.part_signatures: "s"}
+        cases = [
+            (503, {**attempted, "Retry-After": "³"}),
+            (503, {**attempted, "Retry-After": "soon"}),
+            (503, attempted),
+            (200, {**signed, HEADER_NAMES.missing_parts: "³"}),
+            (200, {**signed, HEADER_NAMES.missing_parts: "-1"}),
+        ]
+        target = self.relays.target(self.near.gatherer("near"))
+        for status, headers in cases:
+            with self.subTest(status=status, headers=headers):
+                answer = Answered(status, "", HTTPHeaders(headers), b"", 0.0)
+                target.call = mock.AsyncMock(return_value=answer)
+                self.assertIsInstance(await self.search(), Failed)
+
+    async def test_odd_time_to_answer_of_another_instance_is_rejected(self) -> None:
+        headers = HTTPHeaders(
+            {
+                "Host": "h",
+                HEADER_NAMES.request_id: "r1",
+                "X-Configuration-Version": "1",
+                "X-Answer-Within": "³",
+            }
+        )
+        outcome = await self.near.dispatcher.dispatch("GET", "/x/1", headers, b"")
+        self.assertEqual(outcome.status, 400)
+        self.assertEqual(self.near.arrivals, 0)
+
     async def test_failure_of_the_gathering_instance_is_returned(self) -> None:
         for upstream in self.near.fixture.fleet.by_name.values():
             upstream.script = lambda number: (0.01, answered("x", status=500))
