A request that an unforeseen error ends is answered 502 at once

What callers saw: no answer until their own deadline, on a connection left open, if any error was raised while their request was served or its answer written.

Cause: the task of the request ended with the error; nothing was written.

Evidence: test_request_that_an_error_ends_is_answered failed before, both cases with a time-out.

Change: the request ends as `Failed`, 502, which promises nothing, and is logged with its id. Event `request raised`.

--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -54,6 +54,8 @@
 END_TIMEOUT_SECONDS = 0.2
 # The request was passed on and may have run.
 ENDED_BY_STOP = Failed("this instance stops before the answer has come", timed_out=True)
+ENDED_BY_ERROR = Failed("an internal error ended the request, which may have run")
+MAX_LOGGED_ERROR_CHARACTERS = 200
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -230,10 +232,25 @@
                 outcome = ENDED_BY_STOP
             else:
                 dispatcher.metrics.count("callers_left")
+        except Exception as error:
+            outcome = ENDED_BY_ERROR
+            self.log_error(error)
         finally:
             self.frontend.open_requests -= 1
             dispatcher.record_outcome(self.headers, outcome, now() - arrived)
-        self.write_outcome(outcome)
+        try:
+            self.write_outcome(outcome)
+        except Exception as error:
+            self.log_error(error)
+            self.write_outcome(ENDED_BY_ERROR)
+
+    def log_error(self, error: Exception) -> None:
+        """Log an error for which no outcome of a request is provided."""
+        json_log.info(
+            "request raised",
+            request=self.headers.get(self.frontend.dispatcher.header_names.request_id, ""),
+            error=repr(error)[:MAX_LOGGED_ERROR_CHARACTERS],
+        )
 
     def write_outcome(self, outcome: RequestOutcome | Refusal) -> None:
         """Write the response for an outcome."""
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -5,6 +5,8 @@
 import asyncio
 import random
 import unittest
+from dataclasses import replace
+from unittest import mock
 
 from fakes import HEADER_NAMES, EngineFixture, FakeUpstream, answered, plain_route
 from tornado.httpserver import HTTPServer
@@ -14,6 +16,7 @@
 from mimosahoist.forward.declarations import CallerLimits, Configuration, RouteKind, SharedBounds
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.front import CallerFrontend
+from mimosahoist.forward.outcomes import Answered
 from mimosahoist.forward.routing import RouteTable
 from mimosahoist.forward.state_cache import StateCache
 
@@ -118,6 +121,24 @@
         self.assertEqual(status, 418)
         self.assertIn("X-Signature: signed-x", head)
 
+    async def test_request_that_an_error_ends_is_answered(self) -> None:
+        def answer_that_cannot_be_written(number: int) -> tuple[float, Answered]:
+            return 0.0, replace(answered("x"), reason="a\rb")
+
+        cases = {
+            "in the decisions": mock.patch.object(
+                self.fixture.engine, "choose", side_effect=ZeroDivisionError
+            ),
+            "in the response": mock.patch.object(
+                self.upstream, "script", answer_that_cannot_be_written
+            ),
+        }
+        for name, error in cases.items():
+            with self.subTest(name), error:
+                status, _ = await asyncio.wait_for(self.request(), 2.0)
+                self.assertEqual(status, 502)
+                self.assertEqual(self.frontend.open_requests, 0)
+
     async def test_hop_by_hop_headers_are_not_forwarded(self) -> None:
         await self.request(more="Connection: X-Own\r\nX-Own: 1\r\nTE: x\r\nX-Kept: 2\r\n")
         headers = self.upstream.forwarded_headers[0]
