Own interface: a call that raised an error ends, as one that may have run

What callers saw: no answer until they left, and a call counted as in flight for good, if an exchange raised anything but its own failure.

`Upstream.serve_call` provides for a failure and a cancellation only; any other error ended the connection's task without telling the call.

Evidence: test_call_that_raised_an_error_is_unknown_and_not_sent_again failed before with a time-out.

--- a/libs/query/tests/test_run.py
+++ b/libs/query/tests/test_run.py
@@ -5,11 +5,14 @@
 import asyncio
 from collections import Counter
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from mimosahoist.core.problem import Problem, ProblemKind, RunState
 from mimosahoist.lab import deployment as sizes
 from mimosahoist.lab.fleet import MemoryFleet
+from mimosahoist.lab.memory import MemoryConnection
 from mimosahoist.lab.paused_loop import PausedTestCase
+from mimosahoist.upstream.messages import RUN_PATH
 
 if TYPE_CHECKING:
     from mimosahoist.lab.searcher_model import SearcherModel
@@ -47,6 +50,18 @@
         self.assertEqual(self.executions(fleet)["a"], 1)
         await fleet.close()
 
+    async def test_call_that_raised_an_error_is_unknown_and_not_sent_again(self) -> None:
+        fleet = await self.start_fleet()
+        with mock.patch.object(
+            MemoryConnection, "exchange", side_effect=ZeroDivisionError
+        ) as exchange:
+            async with asyncio.timeout(2 * DEADLINE):
+                problem = await self.expect_problem(fleet, "a", None)
+        self.assertIs(problem.run, RunState.UNKNOWN)
+        runs = [call for call in exchange.call_args_list if call.args[0] == RUN_PATH]
+        self.assertEqual(len(runs), 1)
+        await fleet.close()
+
     async def test_missing_reply_is_unknown(self) -> None:
         fleet = await self.start_fleet()
         for model in self.searchers(fleet):
--- a/libs/upstream/src/mimosahoist/upstream/upstream.py
+++ b/libs/upstream/src/mimosahoist/upstream/upstream.py
@@ -234,6 +234,10 @@
             self.metrics.count("exchange_failed_abandoned")
             call.done(call)
             raise
+        except Exception as error:
+            # The request may have been written, whatever the error is.
+            call.outcome = ExchangeFailure(FailureKind.ABANDONED, True)
+            json_log.info("call raised", upstream=self.name, error=repr(error))
         at = asyncio.get_running_loop().time()
         call.elapsed = at - call.started
         self.in_flight -= 1
