A version that was not completed gets calls as a target and none otherwise

Cause: what was known of a version hung on the key of one order: the split, the verdict, the outcome. The next order replaced them, a withdrawn one dropped them, and a store that went back brought the older order without them. Who may get calls was answered as "not the target of the present order", so every other version counted as one that works. The class: knowledge that is kept with what asked for it instead of with what it is about.

Ruled out: that the load alone does it. At a twentieth of what v1 can carry the cluster of the tests sends calls to the version rolled back as well, only fewer of them.

The same elsewhere, each with a test: an order that is replaced before it ended (the version had shown nothing yet), one that is withdrawn, a store that goes back to a copy, instances that start later, a version that is ordered again after it was mended (its new order was taken for the old one and rolled back at once), an order back to the version in service (all calls were refused). The own interface's moves name both of their versions, and the next source is the last one that was done: not affected, by reading.

Change: `version_history` keeps a record of each version: on trial, rolled back, in service or replaced, of its latest order. A version on trial or rolled back gets calls only as the target. Records are facts that all instances share, and are stored with the progress of the rollout, so that they outlast the order, a restore, and a restart of all instances. An order is identified by the revision at which it was written. What the versions in service can't take is rejected at once.

--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -45,6 +45,8 @@
         Loop time in seconds at which this instance started.
     splits : dict
         Split of calls between versions, for services with a rollout.
+    unproven : dict
+        Versions of each service that get calls only as the target of its rollout.
     limited, leaving : set of str
         Upstreams that announce a limit, and those that announced that they leave.
     waits_until : float
@@ -75,6 +77,7 @@
         self.receive_buffers = ReceiveBuffers()
         self.domains_out: frozenset[str] = frozenset()
         self.splits: dict[str, VersionSplit] = {}
+        self.unproven: dict[str, frozenset[str]] = {}
         self.shares = FleetShares(Shares(), Shares())
         self.limited: set[str] = set()
         self.leaving: set[str] = set()
@@ -161,10 +164,21 @@
         """Upstreams of a service that may get calls under the current version split."""
         upstreams = self.services.get(service, {}).values()
         split = self.splits.get(service)
+        unproven = self.unproven.get(service, frozenset())
+        at = now()
+        if split is not None:
+            usable = split.eligible(upstreams, at, unproven)
+        else:
+            usable = [item for item in upstreams if item.record.version not in unproven]
         if split is not None:
-            return split.eligible(upstreams, now())
+            return usable
+        return [item for item in usable if at >= item.held_until] or usable
+
+    def established_versions(self, service: str) -> set[str]:
+        """Versions of a service whose upstreams may get calls without an order."""
         at = now()
-        return [item for item in upstreams if at >= item.held_until] or list(upstreams)
+        upstreams = self.services.get(service, {}).values()
+        return {item.record.version for item in upstreams if at >= item.held_until}
 
     def hold_until(self, record: UpstreamRecord) -> float:
         """Loop time until which an upstream gets no calls unless its service has no others.
--- a/libs/forward/src/mimosahoist/forward/rollout.py
+++ b/libs/forward/src/mimosahoist/forward/rollout.py
@@ -5,6 +5,8 @@
 import enum
 from typing import NamedTuple
 
+from mimosahoist.forward.version_history import VersionRecord
+
 
 class RolloutPhase(enum.StrEnum):
     """Phase of a rollout."""
@@ -51,6 +53,10 @@
     ----------
     created : int
         Distinguishes the rollout's object from others of the same name.
+    ordered_at : int
+        Revision at which the order was written; distinguishes it from others of the object.
+    versions : tuple of VersionRecord
+        What was known of the service's versions when the progress was stored.
     time_limit_seconds : float
         Time after the order within which the rollout must be completed.
     """
@@ -60,8 +66,10 @@
     time_limit_seconds: float
     created: int = 0
     state: RolloutState = RolloutState()
+    ordered_at: int = 0
+    versions: tuple[VersionRecord, ...] = ()
 
     @property
     def key(self) -> str:
         """Identity of this rollout in the keys of shared facts."""
-        return f"{self.service}/{self.target}/{self.created}"
+        return f"{self.service}/{self.target}/{self.created}/{self.ordered_at}"
--- a/libs/forward/src/mimosahoist/forward/rollout_controller.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_controller.py
@@ -9,12 +9,13 @@
 from mimosahoist.core.problem import Problem
 from mimosahoist.core.tasks import TaskSet, now, unix_time
 from mimosahoist.forward.rollout import Rollout, RolloutPhase, RolloutState
+from mimosahoist.forward.rollout_confirmation import CONFIRMED_PREFIX, ConfirmationFacts
 from mimosahoist.forward.rollout_evidence import RolloutEvidence
 from mimosahoist.forward.rollout_exposure import EXPOSURE_PREFIX, ExposureFacts
 from mimosahoist.forward.rollout_plan import RolloutObservation, next_state
+from mimosahoist.forward.version_history import VersionHistory, VersionState
 from mimosahoist.forward.version_split import VersionSplit
 from mimosahoist.moves.evidence import BUCKET_SECONDS, VERDICT_PREFIX, EvidenceFacts, VerdictFacts
-from mimosahoist.peers.facts import FactKind
 from mimosahoist.platform.watched import WatchedItem, WatchedKind
 
 if TYPE_CHECKING:
@@ -27,7 +28,6 @@
     from mimosahoist.forward.upstream import Upstream
     from mimosahoist.platform.watched import WatchedStore
 
-CONFIRMED_PREFIX = "confirmed/"
 CONTROL_INTERVAL_SECONDS = 0.1
 IDLE_SECONDS = 0.25
 LATE_PHASES = (RolloutPhase.TRIAL, RolloutPhase.FINISHING)
@@ -40,26 +40,13 @@
 # Several times the interval at which counts are shared in the last step.
 SILENT_SECONDS = 0.7
 LOG_INTERVAL_SECONDS = 1.0
+MAINTENANCE_SECONDS = 600.0
 # Time in which an instance that starts hears from all others what they have counted.
 JOINING_SECONDS = 1.5
 EXHAUSTED = "the target has had all calls that it may get before the rollout is completed"
 OVERDUE = "the time limit passed before the rollout was completed"
 
 
-class ConfirmationFacts(FactKind):
-    """Revision of a rollout at which an instance has no call left at other versions."""
-
-    prefix = CONFIRMED_PREFIX
-
-    def valid(self, value: Any) -> bool:
-        """Whether a received value is a revision."""
-        return isinstance(value, int)
-
-    def join(self, held: Any, received: Any) -> Any:
-        """Keep the later revision."""
-        return max(held, received)
-
-
 class RolloutController:
     """Applies the rollouts in the store on this instance and advances them.
 
@@ -78,9 +65,9 @@
         Loop time since which the next state of a service's rollout is due to be written.
     writing : set of str
         Services whose next state is being written.
-    outcomes : dict
-        Final state of each rollout that has ended, by its key. It holds even if the store goes back
-        to a copy from before, because upstreams have been stopped on the strength of it.
+    versions : VersionHistory
+        What is known of the versions, and so how orders have ended. It holds even if the store goes
+        back to a copy from before, because upstreams have been stopped on the strength of it.
     """
 
     def __init__(
@@ -100,8 +87,10 @@
         self.evidence: dict[str, RolloutEvidence] = {}
         self.due_since: dict[str, float] = {}
         self.writing: set[str] = set()
-        self.outcomes: dict[str, RolloutState] = {}
+        self.versions = VersionHistory(self.fact_table, self.handle_version)
+        fleet.unproven = self.versions.unproven
         self.logged_at = 0.0
+        self.maintained_at = 0.0
         self.tasks = TaskSet()
         self.fact_table.register(EvidenceFacts(), self.handle_fact)
         self.fact_table.register(VerdictFacts(), self.handle_fact)
@@ -119,14 +108,14 @@
 
     async def run(self) -> None:
         """Publish counts, evaluate versions and advance rollouts at intervals."""
-        published_at = now()
+        published_at = self.maintained_at = now()
         while True:
             await asyncio.sleep(CONTROL_INTERVAL_SECONDS if self.active() else IDLE_SECONDS)
             is_due = now() - published_at >= BUCKET_SECONDS
             if is_due:
                 published_at = now()
             for item in self.active():
-                if item.value.key in self.outcomes:
+                if self.outcome(item.value) is not None:
                     self.advance(item)
                     continue
                 is_urgent = item.value.state.phase in URGENT_PHASES
@@ -136,6 +125,7 @@
                 self.confirm(item)
                 self.advance(item)
             self.log_exposure()
+            self.maintain_versions()
 
     def active(self) -> list[WatchedItem]:
         """Rollouts that are neither completed nor rolled back."""
@@ -151,17 +141,16 @@
         if isinstance(item.value, Rollout):
             self.apply(item.value)
         elif item.name in self.fleet.splits:
-            split = self.fleet.splits.pop(item.name)
-            self.outcomes.pop(split.rollout.key, None)
+            self.fleet.splits.pop(item.name)
             json_log.info("rollout withdrawn", service=item.name)
 
     def apply(self, rollout: Rollout) -> None:
         """Apply a rollout and its stored progress to the split of the service's calls."""
-        if rollout.state.ended:
-            self.outcomes[rollout.key] = rollout.state
-        rollout = rollout._replace(state=self.outcomes.get(rollout.key, rollout.state))
         split = self.fleet.splits.get(rollout.service)
-        if split is None or split.rollout.key != rollout.key:
+        is_new = split is None or split.rollout.key != rollout.key
+        self.record_versions(rollout, is_new)
+        rollout = rollout._replace(state=self.outcome(rollout) or rollout.state)
+        if is_new:
             split = VersionSplit(rollout, now())
             self.fleet.splits[rollout.service] = split
             self.evidence[rollout.service] = RolloutEvidence(
@@ -170,6 +159,7 @@
             for _, value in self.fact_table.values(f"{EXPOSURE_PREFIX}{rollout.key}/"):
                 split.record_elapsed(value[-1], now())
         split.update(rollout, now())
+        split.target_in_service = self.versions.is_in_service(rollout.service, rollout.target)
         weight = (
             0.0
             if self.rejection_reason(rollout) and not rollout.state.ended
@@ -185,6 +175,42 @@
             )
         split.set_weight(weight)
 
+    def record_versions(self, rollout: Rollout, is_new: bool) -> None:
+        """Learn what a rollout says about the versions of its service."""
+        service, target, key = rollout.service, rollout.target, rollout.key
+        self.versions.merge(service, rollout.versions)
+        if is_new:
+            others = self.fleet.established_versions(service) - {target}
+            self.versions.record_order(service, target, key, others, unix_time())
+        if rollout.state.ended:
+            is_completed = rollout.state.phase is RolloutPhase.COMPLETED
+            self.versions.record_outcome(service, target, key, is_completed, unix_time())
+
+    def outcome(self, rollout: Rollout) -> RolloutState | None:
+        """Final state of a rollout, or None if it has not ended as far as is known."""
+        state = self.versions.outcome(rollout.service, rollout.target, rollout.key)
+        if state is None:
+            return None
+        if state is VersionState.ROLLED_BACK:
+            return RolloutState(RolloutPhase.ROLLED_BACK)
+        return RolloutState(RolloutPhase.COMPLETED, 1.0)
+
+    def handle_version(self, service: str) -> None:
+        """Apply what another instance knows of a service's versions."""
+        if service in self.fleet.splits:
+            self.apply(self.fleet.splits[service].rollout)
+
+    def maintain_versions(self) -> None:
+        """Once in a while, keep the records of listed versions and drop old ones."""
+        if now() - self.maintained_at < MAINTENANCE_SECONDS:
+            return
+        self.maintained_at = now()
+        listed = {
+            service: {upstream.record.version for upstream in upstreams.values()}
+            for service, upstreams in self.fleet.services.items()
+        }
+        self.versions.maintain(listed, unix_time())
+
     def rejection_reason(self, rollout: Rollout) -> str | None:
         """Why an instance rejected the target version, or None if none has."""
         verdict = self.fact_table.value(VERDICT_PREFIX + rollout.key)
@@ -201,12 +227,16 @@
     ) -> None:
         """Count the outcome of a call to a service with a rollout; None if it was cancelled."""
         split = self.fleet.splits.get(upstream.record.service)
-        if split is not None and not split.rollout.state.ended:
+        if split is None or split.rollout.state.ended:
+            return
+        unproven = self.versions.unproven.get(upstream.record.service, frozenset())
+        if split.is_target(upstream) or upstream.record.version not in unproven:
             self.evidence[upstream.record.service].record_call(upstream, route, outcome, elapsed)
 
     def evaluate(self, rollout: Rollout) -> None:
         """Publish a verdict if what all instances have counted rejects the target."""
-        if self.rejection_reason(rollout) is not None:
+        in_service = self.fleet.splits[rollout.service].target_in_service
+        if in_service or self.rejection_reason(rollout) is not None:
             return
         reason = self.evidence[rollout.service].find_fault() or self.find_excess(rollout)
         if reason is not None:
@@ -294,7 +324,10 @@
     def has_capacity(self, split: VersionSplit) -> bool:
         """Whether the target's warm upstreams have enough slots compared to the others."""
         slots = {True: 0, False: 0}
+        unproven = self.versions.unproven.get(split.rollout.service, frozenset())
         for upstream in self.fleet.services.get(split.rollout.service, {}).values():
+            if not split.is_target(upstream) and upstream.record.version in unproven:
+                continue
             if not upstream.leaving and not upstream.cold(now()):
                 slots[split.is_target(upstream)] += upstream.record.slots
         return slots[True] > 0 and slots[True] >= MIN_CAPACITY_SHARE * slots[False]
@@ -314,6 +347,7 @@
             evidence.find_doubt(),
             evidence.counted_here.typical_seconds,
             self.peers.alive_count(),
+            split.target_in_service,
         )
 
     def advance(self, item: WatchedItem) -> None:
@@ -321,7 +355,7 @@
         rollout = item.value
         if not self.fleet.splits[rollout.service].may_decide(now(), JOINING_SECONDS):
             return
-        state = self.outcomes.get(rollout.key) or next_state(
+        state = self.outcome(rollout) or next_state(
             rollout, self.observe(item), self.fleet.bounds, unix_time()
         )
         if state is None:
@@ -339,7 +373,8 @@
         service = item.value.service
         self.metrics.count("rollout_writes")
         try:
-            written = await self.store.write_rollout(item, state)
+            rollout = item.value._replace(versions=self.versions.of(service))
+            written = await self.store.write_rollout(item._replace(value=rollout), state)
         except Problem as problem:
             json_log.info("rollout not written", service=service, error=problem.message)
             self.due_since[service] = now()
--- a/libs/forward/src/mimosahoist/forward/rollout_plan.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_plan.py
@@ -69,6 +69,8 @@
         Typical time of an answer on the service's slowest route.
     instances : int
         Number of instances that are alive.
+    target_in_service : bool
+        Whether the target carried the service's calls before the order.
     """
 
     elapsed: float
@@ -80,6 +82,7 @@
     doubt: str | None = None
     typical_seconds: float = 0.0
     instances: int = 1
+    target_in_service: bool = False
 
 
 class RolloutPlan:
@@ -127,6 +130,8 @@
         state, observed = self.state, self.observed
         if state.ended:
             return state.phase, state.weight
+        if observed.target_in_service and observed.target_has_capacity:
+            return self.confirming_step()
         if observed.rejection_reason is not None or self.seconds_left <= ROLLBACK_MARGIN_SECONDS:
             return RolloutPhase.ROLLED_BACK, 0.0
         if state.phase is RolloutPhase.FINISHING:
@@ -139,6 +144,12 @@
             return RolloutPhase.RUNNING, state.weight or self.canary_weight()
         return RolloutPhase.TRIAL, self.trial_weight()
 
+    def confirming_step(self) -> tuple[RolloutPhase, float]:
+        """Phase and weight of a target that carries the calls already and needs no trial."""
+        if self.state.phase is RolloutPhase.FINISHING and self.observed.all_confirmed:
+            return RolloutPhase.COMPLETED, FULL_WEIGHT
+        return RolloutPhase.FINISHING, FULL_WEIGHT
+
     def trial_step(self) -> tuple[RolloutPhase, float]:
         """Phase and weight in the trial: the last step follows if it is affordable."""
         if self.remaining < MIN_RESERVE_SHARE * self.reserved_calls:
--- a/libs/forward/src/mimosahoist/forward/state_cache.py
+++ b/libs/forward/src/mimosahoist/forward/state_cache.py
@@ -28,7 +28,7 @@
     reports_of_copies : dict
         Revision of each upstream's registration that was only in a copy of the store.
     rewritten_orders : dict
-        First creation of rollouts whose orders were written again after a restore, by their key.
+        First form of rollouts whose orders were written again after a restore, by their key.
     listeners : list of callable
         Called with kind and item after an item changed.
     """
@@ -39,7 +39,7 @@
         self.items: dict[WatchedKind, dict[str, WatchedItem]] = {kind: {} for kind in WatchedKind}
         self.last_reports: dict[str, WatchedItem] = {}
         self.reports_of_copies: dict[str, int] = {}
-        self.rewritten_orders: dict[str, int] = {}
+        self.rewritten_orders: dict[str, Rollout] = {}
         self.listeners: list[Callable[[WatchedKind, WatchedItem], None]] = []
 
     @property
@@ -77,10 +77,11 @@
             and epoch_of(item.revision) > epoch_of(cached.revision)
             and is_same_order(order, known)
         )
-        if is_rewritten and order.created != known.created:
-            self.rewritten_orders[order.key] = known.created
-        created = self.rewritten_orders.get(order.key, order.created)
-        return item._replace(value=order._replace(created=created))
+        if is_rewritten and order.key != known.key:
+            self.rewritten_orders[order.key] = known
+        first = self.rewritten_orders.get(order.key, order)
+        order = order._replace(created=first.created, ordered_at=first.ordered_at)
+        return item._replace(value=order)
 
     def is_report_of_copy(self, item: WatchedItem) -> bool:
         """Whether a registration is only what the copy held from which the store was restored.
--- a/libs/forward/src/mimosahoist/forward/version_split.py
+++ b/libs/forward/src/mimosahoist/forward/version_split.py
@@ -29,6 +29,8 @@
     exclusive_until : float
         Loop time until which other versions get no calls after completion, because their upstreams
         are stopped before the list of upstreams shows it.
+    target_in_service : bool
+        Whether the target carried the service's calls before the order.
     numbers : CallNumbers
         What this instance has sent to the service since it saw the rollout.
     """
@@ -39,6 +41,7 @@
         self.state_changed_at = at
         self.first_seen_state = rollout.state
         self.weight = 0.0
+        self.target_in_service = False
         completed = rollout.state.phase is RolloutPhase.COMPLETED
         self.exclusive_until = at + COMPLETED_HOLD_SECONDS if completed else float("inf")
         self.calls = 0
@@ -104,13 +107,28 @@
         """Whether an upstream runs the target version."""
         return upstream.record.version == self.rollout.target
 
-    def eligible(self, upstreams: Iterable[Upstream], at: float) -> list[Upstream]:
-        """Upstreams that may get calls at the current weight."""
-        if self.weight <= 0.0:
-            return [upstream for upstream in upstreams if not self.is_target(upstream)]
+    def eligible(
+        self, upstreams: Iterable[Upstream], at: float, unproven: frozenset[str] = frozenset()
+    ) -> list[Upstream]:
+        """Upstreams that may get calls at the current weight.
+
+        Parameters
+        ----------
+        unproven : frozenset of str
+            Versions that get calls only as the target.
+        """
         if self.weight >= 1.0 and at < self.exclusive_until:
             return [upstream for upstream in upstreams if self.is_target(upstream)]
-        return list(upstreams)
+        takes_target = self.weight > 0.0 or self.target_in_service
+        return [
+            upstream
+            for upstream in upstreams
+            if (
+                takes_target
+                if self.is_target(upstream)
+                else upstream.record.version not in unproven
+            )
+        ]
 
     def candidate_groups(self, upstreams: list[Upstream], first: bool) -> list[list[Upstream]]:
         """Groups of upstreams to try in order.
--- a/libs/forward/tests/fake_store.py
+++ b/libs/forward/tests/fake_store.py
@@ -114,7 +114,8 @@
         await self.begin_call()
         current = self.items[WatchedKind.ROLLOUTS][item.name]
         if current.revision == item.revision and not self.drop_writes:
-            self.put(WatchedKind.ROLLOUTS, item.name, current.value._replace(state=state))
+            written = current.value._replace(state=state, versions=item.value.versions)
+            self.put(WatchedKind.ROLLOUTS, item.name, written)
             self.written_states.append(state)
         if self.drop_responses:
             raise Problem(ProblemKind.STORE, "no answer", "read it back")
