A new version waits for its order under an earlier rollout too

What callers would see: the upstreams of the next version get a share of all calls from the moment they are listed until its order is known, if the service ever had a rollout before. They count towards what a bad version may get.

Cause: the time in which upstreams of a new version get no calls applied only to services without a split, and a split stays after its rollout has ended.

Evidence: test_new_version_gets_no_calls_under_an_earlier_rollout_before_its_own_is_known failed before, both cases.

--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -170,9 +170,10 @@
             usable = split.eligible(upstreams, at, unproven)
         else:
             usable = [item for item in upstreams if item.record.version not in unproven]
-        if split is not None:
-            return usable
-        return [item for item in usable if at >= item.held_until] or usable
+        ordered = split.rollout.target if split is not None else None
+        return [
+            item for item in usable if at >= item.held_until or item.record.version == ordered
+        ] or usable
 
     def established_versions(self, service: str) -> set[str]:
         """Versions of a service whose upstreams may get calls without an order."""
--- a/libs/forward/tests/test_new_versions.py
+++ b/libs/forward/tests/test_new_versions.py
@@ -6,9 +6,10 @@
 
 from fakes import HEADER_NAMES
 
+from mimosahoist.core.tasks import now
 from mimosahoist.forward.declarations import SharedBounds, UpstreamRecord
 from mimosahoist.forward.fleet import NEW_VERSION_HOLD_SECONDS, UpstreamFleet
-from mimosahoist.forward.rollout import Rollout
+from mimosahoist.forward.rollout import Rollout, RolloutPhase, RolloutState
 from mimosahoist.forward.version_split import VersionSplit
 from mimosahoist.lab.paused_loop import PausedTestCase
 
@@ -40,6 +41,23 @@
         await asyncio.sleep(NEW_VERSION_HOLD_SECONDS)
         self.assertEqual(self.eligible(fleet), {"u1", "u2"})
 
+    async def test_new_version_gets_no_calls_under_an_earlier_rollout_before_its_own_is_known(
+        self,
+    ) -> None:
+        for phase, weight in ((RolloutPhase.ROLLED_BACK, 0.0), (RolloutPhase.RUNNING, 0.1)):
+            with self.subTest(phase):
+                fleet = await self.start()
+                fleet.upsert(record("u3", "v2"))
+                state = RolloutState(phase, weight)
+                split = VersionSplit(Rollout("desk", "v2", 12.0, state=state), now())
+                split.set_weight(weight)
+                fleet.splits["desk"] = split
+                before = self.eligible(fleet)
+                fleet.upsert(record("u4", "v3"))
+                self.assertEqual(self.eligible(fleet), before)
+                await asyncio.sleep(NEW_VERSION_HOLD_SECONDS)
+                self.assertIn("u4", self.eligible(fleet))
+
     async def test_new_version_without_a_rollout_is_used_after_a_while(self) -> None:
         fleet = await self.start()
         fleet.upsert(record("u3", "v2"))
