An order that was written again after a restore keeps its key while its progress is stored

Cause, of the commit that identifies an order by its revision: the progress of a rewritten order carries the revision of the first one, and the object the creation of the second, a pair that the map of rewritten orders did not know. The key changed at the first write, and with it the counts of what the target had had.

Evidence: test_order_that_is_written_again_gives_the_target_no_second_allowance, whose store now stores the revision as the platform does, fails without the second entry (rolled back, where it must be completed).

--- a/libs/forward/src/mimosahoist/forward/state_cache.py
+++ b/libs/forward/src/mimosahoist/forward/state_cache.py
@@ -79,6 +79,9 @@
         )
         if is_rewritten and order.key != known.key:
             self.rewritten_orders[order.key] = known
+            # Its progress is stored with the revision of the first order.
+            stored = order._replace(ordered_at=known.ordered_at)
+            self.rewritten_orders[stored.key] = known
         first = self.rewritten_orders.get(order.key, order)
         order = order._replace(created=first.created, ordered_at=first.ordered_at)
         return item._replace(value=order)
--- a/libs/forward/tests/fake_store.py
+++ b/libs/forward/tests/fake_store.py
@@ -114,7 +114,10 @@
         await self.begin_call()
         current = self.items[WatchedKind.ROLLOUTS][item.name]
         if current.revision == item.revision and not self.drop_writes:
-            written = current.value._replace(state=state, versions=item.value.versions)
+            known = item.value
+            written = current.value._replace(
+                state=state, ordered_at=known.ordered_at, versions=known.versions
+            )
             self.put(WatchedKind.ROLLOUTS, item.name, written)
             self.written_states.append(state)
         if self.drop_responses:
--- a/libs/forward/tests/test_restored_store.py
+++ b/libs/forward/tests/test_restored_store.py
@@ -202,15 +202,19 @@
         await cluster.start()
         await asyncio.sleep(8.0)
         before = len(cluster.sent("v2"))
+        first_key = cluster.instances[0].fixture.fleet.splits["desk"].rollout.key
         cluster.store.restore(copy)
         await asyncio.sleep(REWRITE_SECONDS)
-        cluster.store.put(ROLLOUTS, "desk", Rollout("desk", "v2", TIME_LIMIT_SECONDS, 4))
+        rewritten = Rollout("desk", "v2", TIME_LIMIT_SECONDS, 4, ordered_at=70)
+        cluster.store.put(ROLLOUTS, "desk", rewritten)
         await asyncio.sleep(0.5)
         # Of 120 requests no more than the small share.
         self.assertLess(len(cluster.sent("v2")) - before, 20)
         self.assertEqual(len({self.elapsed(item) > 9.0 for item in cluster.instances}), 1)
         await asyncio.sleep(TIME_LIMIT_SECONDS - 10.0)
         self.assertEqual(cluster.state.phase, RolloutPhase.COMPLETED)
+        splits = [instance.fixture.fleet.splits["desk"] for instance in cluster.instances]
+        self.assertEqual({split.rollout.key for split in splits}, {first_key})
         await cluster.close()
 
     def elapsed(self, instance: Instance) -> float:
