Only a version that carries all calls alone needs no trial

Change: a version is in service before an order if its upstreams had been listed for longer than an order takes to become known, and its own order needs no trial only if no other version is in service.

Evidence: test_version_beside_another_in_service_is_tried_like_a_new_one failed before. Found by reading; not seen in a run.

--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -176,10 +176,10 @@
         ] or usable
 
     def established_versions(self, service: str) -> set[str]:
-        """Versions of a service whose upstreams may get calls without an order."""
-        at = now()
+        """Versions that have carried a service's calls since before an order known only now."""
+        before = now() - NEW_VERSION_HOLD_SECONDS
         upstreams = self.services.get(service, {}).values()
-        return {item.record.version for item in upstreams if at >= item.held_until}
+        return {item.record.version for item in upstreams if item.listed_at < before}
 
     def hold_until(self, record: UpstreamRecord) -> float:
         """Loop time until which an upstream gets no calls unless its service has no others.
--- a/libs/forward/src/mimosahoist/forward/version_history.py
+++ b/libs/forward/src/mimosahoist/forward/version_history.py
@@ -128,9 +128,10 @@
         return tuple(records[-MAX_STORED_RECORDS:])
 
     def is_in_service(self, service: str, version: str) -> bool:
-        """Whether a version is known to carry the service's calls."""
-        record = self.get(service, version)
-        return record is not None and record.state is VersionState.IN_SERVICE
+        """Whether a version is known to be the only one that carries the service's calls."""
+        records = self.records.get(service, {}).values()
+        in_service = {item.version for item in records if item.state is VersionState.IN_SERVICE}
+        return in_service == {version}
 
     def outcome(self, service: str, version: str, order: str) -> VersionState | None:
         """State in which an order of a version has ended; None if it has not, as far as known."""
@@ -185,7 +186,7 @@
             ],
         )
         held = self.get(service, version)
-        if held is None or (held.order != order and held.state is not in_service):
+        if held is None or (held.order != order and not self.is_in_service(service, version)):
             sequence = held.sequence + 1 if held is not None else 1
             self.merge(
                 service, [VersionRecord(version, sequence, order, VersionState.ON_TRIAL, at)]
--- a/libs/forward/tests/test_version_history.py
+++ b/libs/forward/tests/test_version_history.py
@@ -71,6 +71,13 @@
         self.end("v1", "b", True)
         self.assertEqual(self.history.outcome("desk", "v1", "b"), IN_SERVICE)
 
+    def test_version_beside_another_in_service_is_tried_like_a_new_one(self) -> None:
+        self.history.record_order("desk", "v2", "a", {"v1", "v3"}, AT)
+        self.end("v2", "a", False)
+        self.order("v3", "b")
+        self.assertFalse(self.history.is_in_service("desk", "v3"))
+        self.assertEqual(self.unproven(), {"v2", "v3"})
+
     def test_replaced_version_is_tried_like_a_new_one(self) -> None:
         self.order("v2", "a")
         self.end("v2", "a", True)
