Instances with few calls each share their baseline of a rollout

Cause: each instance called an answer slow against a baseline from its own first four answers of the old version on the route, and what came before them counted as not slow. With 8 instances and 3 requests a second that is nearly the whole rollout. The class: a threshold that each of N must reach alone, though all share one question.

Change: instances publish their first four samples of a route; with four in all, each has a baseline. Exchanges from before it was known are kept and judged by it then, on the product's own interface too.

--- a/libs/forward/src/mimosahoist/forward/rollout_controller.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_controller.py
@@ -15,7 +15,13 @@
 from mimosahoist.forward.rollout_plan import RolloutObservation, next_state
 from mimosahoist.forward.version_history import VersionHistory, VersionState
 from mimosahoist.forward.version_split import VersionSplit
-from mimosahoist.moves.evidence import BUCKET_SECONDS, VERDICT_PREFIX, EvidenceFacts, VerdictFacts
+from mimosahoist.moves.evidence import (
+    BUCKET_SECONDS,
+    VERDICT_PREFIX,
+    EvidenceFacts,
+    SampleFacts,
+    VerdictFacts,
+)
 from mimosahoist.platform.watched import WatchedItem, WatchedKind
 
 if TYPE_CHECKING:
@@ -93,6 +99,7 @@
         self.maintained_at = 0.0
         self.tasks = TaskSet()
         self.fact_table.register(EvidenceFacts(), self.handle_fact)
+        self.fact_table.register(SampleFacts(), self.handle_fact)
         self.fact_table.register(VerdictFacts(), self.handle_fact)
         self.fact_table.register(ConfirmationFacts(), self.handle_fact)
         self.fact_table.register(ExposureFacts(), self.handle_exposure)
@@ -273,19 +280,7 @@
             return
         self.logged_at = now()
         for item in self.active():
-            service = item.value.service
-            split = self.fleet.splits[service]
-            exposure = self.evidence[service].exposure()
-            json_log.info(
-                "rollout calls",
-                service=service,
-                phase=str(item.value.state.phase),
-                elapsed=round(split.elapsed(now(), unix_time()), 2),
-                here=split.numbers._asdict(),
-                all=exposure.numbers._asdict(),
-                rate=round(exposure.request_rate, 1),
-                doubt=self.evidence[service].find_doubt(),
-            )
+            self.evidence[item.value.service].log(item.value)
 
     def confirm(self, item: WatchedItem) -> None:
         """Confirm to the other instances once no call at another version is left."""
--- a/libs/forward/src/mimosahoist/forward/rollout_evidence.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_evidence.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now, unix_time
 from mimosahoist.forward.outcomes import Answered, LossKind, Lost, Refused, Unreached
 from mimosahoist.forward.rollout_exposure import (
@@ -14,6 +15,7 @@
 )
 from mimosahoist.moves.evidence import (
     EVIDENCE_PREFIX,
+    SAMPLES_PREFIX,
     EvidenceHistory,
     MoveEvidence,
     merge_records,
@@ -79,6 +81,11 @@
             self.publish_record(
                 f"{EVIDENCE_PREFIX}{self.key}/{self.instance}/{name}", record, urgent
             )
+        for name, record in self.counted_here.samples().items():
+            self.publish_record(
+                f"{SAMPLES_PREFIX}{self.key}/{self.instance}/{name}", record, urgent
+            )
+        self.counted_here.share_baselines(self.fact_table.values(f"{SAMPLES_PREFIX}{self.key}/"))
         split = self.split
         if split.numbers.requests:
             key = f"{EXPOSURE_PREFIX}{self.key}/{self.instance}/{self.counted_here.id}"
@@ -113,6 +120,20 @@
         elapsed = self.split.elapsed(now(), unix_time())
         return Exposure(numbers, self.exposure_history.rate(numbers.requests, elapsed))
 
+    def log(self, rollout: Rollout) -> None:
+        """Log what the target has had, and what speaks against it."""
+        exposure = self.exposure()
+        json_log.info(
+            "rollout calls",
+            service=rollout.service,
+            phase=str(rollout.state.phase),
+            elapsed=round(self.split.elapsed(now(), unix_time()), 2),
+            here=self.split.numbers._asdict(),
+            all=exposure.numbers._asdict(),
+            rate=round(exposure.request_rate, 1),
+            doubt=self.find_doubt(),
+        )
+
     def last_told(self, instance: str) -> float | None:
         """Seconds from the order to an instance's latest record; None if it has sent nothing."""
         records = self.fact_table.values(f"{EXPOSURE_PREFIX}{self.key}/{instance}/")
--- a/libs/forward/tests/test_rollout_exposure.py
+++ b/libs/forward/tests/test_rollout_exposure.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
+import rollout_cluster
 from rollout_cluster import INSTANCES, RARE_ROUTE, TIME_LIMIT_SECONDS, Cluster, FaultyVersion
 
 from mimosahoist.forward.rollout import RolloutPhase
@@ -73,6 +75,28 @@
         }
         self.assertEqual({case: broken for case, broken in found.items() if broken}, {})
 
+    async def test_version_that_is_slow_on_a_route_of_few_calls_is_not_completed(self) -> None:
+        # Each instance sees some four calls on the route in all.
+        with (
+            mock.patch.object(rollout_cluster, "INSTANCES", 8),
+            mock.patch.object(rollout_cluster, "RARE_ROUTE_INTERVAL", 33),
+        ):
+            for factor in (4.0, 8.0):
+                for rate in (60.0, 100.0):
+                    with self.subTest(factor=factor, rate=rate):
+                        faulty = FaultyVersion(0.0, 1.0, latency_factor=factor, route=RARE_ROUTE)
+                        self.assertEqual(await self.violations(faulty, rate), [])
+
+    async def test_good_version_is_completed_beside_a_route_of_few_calls(self) -> None:
+        with (
+            mock.patch.object(rollout_cluster, "INSTANCES", 8),
+            mock.patch.object(rollout_cluster, "RARE_ROUTE_INTERVAL", 33),
+        ):
+            for rate in (60.0, 100.0):
+                with self.subTest(rate=rate):
+                    good = FaultyVersion(0.0, 0.0)
+                    self.assertIn("completed", await self.violations(good, rate))
+
     async def test_target_is_stopped_if_the_store_is_lost_in_the_last_step(self) -> None:
         cluster = Cluster(calls_per_second=120.0)
         await cluster.start()
--- a/libs/moves/src/mimosahoist/moves/evidence.py
+++ b/libs/moves/src/mimosahoist/moves/evidence.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import statistics
 import uuid
 from collections import defaultdict, deque
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -21,6 +23,7 @@
     from mimosahoist.query.service import CallObservation
 
 EVIDENCE_PREFIX = "evidence/"
+SAMPLES_PREFIX = "samples/"
 VERDICT_PREFIX = "verdict/"
 MAX_ROUTES = 16
 OVERFLOW_ROUTE = "other"
@@ -30,6 +33,7 @@
 BASELINE_PERCENTILE = 50.0
 # A median needs few exchanges, so that routes with little traffic are judged as well.
 BASELINE_SAMPLES = 4
+MAX_UNJUDGED = 1000
 SLOW_EXCHANGE_FACTOR = 2.5
 COUNTS_PER_RECORD = 6
 # All integers up to it are exact as floating point numbers too.
@@ -71,12 +75,45 @@
     total: Window
 
 
+class TimedExchange(NamedTuple):
+    """An exchange that can't be judged before a baseline is known.
+
+    Attributes
+    ----------
+    completed : bool
+        False if the exchange was given up after `seconds`.
+    """
+
+    is_new: bool
+    seconds: float
+    completed: bool
+
+
 class RouteCounter:
-    """Counts of one route of callers' requests; they only grow."""
+    """Counts of one route of callers' requests; they only grow.
+
+    Attributes
+    ----------
+    first_samples : list of float
+        First times of the old version's answers, which other instances may need.
+    shared_baseline : float
+        Baseline of all instances together, for as long as this one has too few samples.
+    unjudged : list of TimedExchange
+        Exchanges from before a baseline was known.
+    """
 
     def __init__(self) -> None:
         self.counts = Window()
         self.baseline = SlidingQuantile(BASELINE_PERCENTILE, float("inf"), BASELINE_SAMPLES)
+        self.first_samples: list[float] = []
+        self.shared_baseline = float("inf")
+        self.unjudged: list[TimedExchange] = []
+
+    @property
+    def baseline_seconds(self) -> float:
+        """Typical time of the old version's answers; infinite until it is known."""
+        own = self.baseline.value
+        return own if own < float("inf") else self.shared_baseline
 
     def record(
         self, is_new: bool, failed: bool, elapsed: float | None, completed: bool = True
@@ -88,17 +125,37 @@
         completed : bool
             False if the exchange was given up after `elapsed`; it counts only if it was slow.
         """
-        timed = not failed and elapsed is not None
-        slow = timed and elapsed > self.baseline.value * SLOW_EXCHANGE_FACTOR
-        if not completed and not slow:
+        if completed:
+            self.add(is_new, Counts(1, int(failed), 0))
+        if failed or elapsed is None:
             return
-        counts = Counts(1, int(failed), int(slow))
-        if is_new:
-            self.counts = self.counts.plus(Window(new=counts))
-            return
-        self.counts = self.counts.plus(Window(old=counts))
-        if timed and completed:
+        if len(self.unjudged) < MAX_UNJUDGED:
+            self.unjudged.append(TimedExchange(is_new, elapsed, completed))
+        if completed and not is_new:
             self.baseline.record(elapsed)
+            if len(self.first_samples) < BASELINE_SAMPLES:
+                self.first_samples.append(elapsed)
+        self.judge()
+
+    def judge(self) -> None:
+        """Count the slow exchanges among those that are not judged yet, if a baseline is known."""
+        if self.baseline_seconds == float("inf"):
+            return
+        slow_seconds = self.baseline_seconds * SLOW_EXCHANGE_FACTOR
+        for exchange in self.unjudged:
+            if exchange.seconds > slow_seconds:
+                self.add(exchange.is_new, Counts(int(not exchange.completed), 0, 1))
+        self.unjudged.clear()
+
+    def add(self, is_new: bool, counts: Counts) -> None:
+        """Add counts of one version."""
+        self.counts = self.counts.plus(Window(new=counts) if is_new else Window(old=counts))
+
+    def share_baseline(self, samples: list[float]) -> None:
+        """Use the samples of all instances while this one has too few."""
+        if len(samples) >= BASELINE_SAMPLES:
+            self.shared_baseline = statistics.median(samples)
+            self.judge()
 
 
 class MoveEvidence:
@@ -132,9 +189,9 @@
     def typical_seconds(self) -> float:
         """Typical time of the old version's answers on the route that takes longest."""
         known = [
-            counter.baseline.value
+            counter.baseline_seconds
             for counter in self.routes.values()
-            if counter.baseline.value < float("inf")
+            if counter.baseline_seconds < float("inf")
         ]
         return max(known, default=0.0)
 
@@ -147,6 +204,23 @@
             if counter.counts != Window()
         }
 
+    def samples(self) -> dict[str, list[float]]:
+        """Return the samples to publish, like `records`."""
+        at = unix_time()
+        return {
+            f"{self.id}/{route}": [at, *counter.first_samples]
+            for route, counter in self.routes.items()
+            if counter.first_samples
+        }
+
+    def share_baselines(self, records: Iterable[tuple[str, list[float]]]) -> None:
+        """Use the samples that all instances have published; each key ends in its route."""
+        pooled: dict[str, list[float]] = defaultdict(list)
+        for key, value in records:
+            pooled[key.rpartition("/")[2]] += value[1:]
+        for route, counter in self.routes.items():
+            counter.share_baseline(pooled[route])
+
 
 class CounterFacts(FactKind):
     """Records of numbers that only grow: Unix time of the record, then the numbers.
@@ -181,6 +255,29 @@
     length = COUNTS_PER_RECORD
 
 
+class SampleFacts(FactKind):
+    """First samples of an instance on a route: Unix time of the record, then seconds."""
+
+    prefix = SAMPLES_PREFIX
+
+    def valid(self, value: Any) -> bool:
+        """Return whether a received value has the form of a record."""
+        return (
+            isinstance(value, list | tuple)
+            and 1 < len(value) <= 1 + BASELINE_SAMPLES
+            and all(isinstance(item, int | float) and math.isfinite(item) for item in value)
+            and min(value) >= 0
+        )
+
+    def join(self, held: Any, received: Any) -> Any:
+        """Keep the record with more samples."""
+        return max(held, received, key=lambda value: (len(value), list(value)))
+
+    def expired(self, value: Any, at: float) -> bool:
+        """Return whether a record is from a move that has ended."""
+        return at - value[0] > COUNTER_TTL_SECONDS
+
+
 def merge_records(records: Iterable[tuple[str, list[float]]]) -> dict[str, Window]:
     """Return the sum of all instances' records, by route; each key ends in its route."""
     merged: dict[str, Window] = {}
--- a/libs/moves/tests/test_evidence.py
+++ b/libs/moves/tests/test_evidence.py
@@ -6,15 +6,22 @@
 import unittest
 from types import SimpleNamespace
 
+from mimosahoist.lab.paused_loop import PausedTestCase
 from mimosahoist.moves.controller import MoveController
-from mimosahoist.moves.evidence import RouteCounter, Window
+from mimosahoist.moves.evidence import (
+    SAMPLES_PREFIX,
+    MoveEvidence,
+    RouteCounter,
+    SampleFacts,
+    Window,
+)
 from mimosahoist.moves.sequential_test import Counts, rejection_reason
 
 TYPICAL_SECONDS = 0.03
 PAUSE_SECONDS = 0.2
 
 
-class RouteCounterTest(unittest.TestCase):
+class RouteCounterTest(PausedTestCase):
     def test_slow_version_is_noticed_on_a_route_with_few_calls(self) -> None:
         rng = random.Random(4)
         counter = RouteCounter()
@@ -27,6 +34,41 @@
         self.assertEqual(window.new.slow, 15)
         self.assertIsNotNone(rejection_reason(window.old, window.new))
 
+    def test_exchanges_from_before_the_baseline_was_known_are_judged_by_it(self) -> None:
+        counter = RouteCounter()
+        counter.record(True, False, 4 * TYPICAL_SECONDS)
+        counter.record(True, False, TYPICAL_SECONDS)
+        counter.record(True, False, 4 * TYPICAL_SECONDS, completed=False)
+        counter.record(True, False, TYPICAL_SECONDS, completed=False)
+        self.assertEqual(counter.counts.new, Counts(2, 0, 0))
+        counter.record(False, False, TYPICAL_SECONDS)
+        counter.share_baseline([TYPICAL_SECONDS] * 3)
+        self.assertEqual(counter.counts.new, Counts(2, 0, 0))
+        counter.share_baseline([TYPICAL_SECONDS] * 4)
+        self.assertEqual(counter.counts, Window(Counts(1, 0, 0), Counts(3, 0, 2)))
+
+    async def test_instances_with_few_samples_each_share_a_baseline(self) -> None:
+        instances = [MoveEvidence("v1", "v2") for _ in range(4)]
+        for evidence in instances:
+            evidence.counter("r").record(False, False, TYPICAL_SECONDS)
+            evidence.counter("r").record(True, False, 4 * TYPICAL_SECONDS)
+        records = [
+            (f"{SAMPLES_PREFIX}{name}", value)
+            for evidence in instances
+            for name, value in evidence.samples().items()
+        ]
+        self.assertTrue(all(SampleFacts().valid(value) for _, value in records))
+        for evidence in instances:
+            evidence.share_baselines(records)
+            self.assertEqual(evidence.counter("r").counts.new, Counts(1, 0, 1))
+            self.assertEqual(evidence.typical_seconds, TYPICAL_SECONDS)
+
+    def test_odd_samples_of_others_are_dropped(self) -> None:
+        odd = [None, [], [1.0], [1.0, -1.0], [1.0, float("nan")], [1.0, "x"], [1.0] * 6, {"a": 1}]
+        for value in odd:
+            with self.subTest(value):
+                self.assertFalse(SampleFacts().valid(value))
+
     def test_pauses_of_both_versions_reject_none(self) -> None:
         counter = RouteCounter()
         for number in range(400):
