A cold upstream is called by as few instances as its rate allows

Cause: an instance's part of the rate was below one a second, but calls older than a second were forgotten before the time since the last one was asked. And a part below one can't be kept by dividing: N instances with one call each send N in the same second, whatever the interval, when the upstream comes back for all of them at once. The class: a share that rounds up.

Change: as for announced limits, so few instances call a cold upstream, chosen by rendezvous hashing, that each has a whole request a second; none sends more than its part in any second. The others use other copies, or reject at once. The test of the division set a divisor by hand, which no longer divides this; it now sets the shares that instances have, and asks for more than no call.

--- a/libs/forward/src/mimosahoist/forward/fleet.py
+++ b/libs/forward/src/mimosahoist/forward/fleet.py
@@ -9,6 +9,7 @@
 from mimosahoist.core.metrics import Metrics
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.announcements import RememberedAnnouncements
+from mimosahoist.forward.cold_rate import total_cold_rate
 from mimosahoist.forward.declarations import ServiceLimits
 from mimosahoist.forward.rate_limit import caller_rate
 from mimosahoist.forward.receive_buffers import ReceiveBuffers
@@ -47,6 +48,8 @@
         Split of calls between versions, for services with a rollout.
     unproven : dict
         Versions of each service that get calls only as the target of its rollout.
+    cold_rates : dict
+        This instance's part of the rates of cold upstreams under the present shares.
     limited, leaving : set of str
         Upstreams that announce a limit, and those that announced that they leave.
     waits_until : float
@@ -79,6 +82,7 @@
         self.splits: dict[str, VersionSplit] = {}
         self.unproven: dict[str, frozenset[str]] = {}
         self.shares = FleetShares(Shares(), Shares())
+        self.cold_rates: dict[str, float] = {}
         self.limited: set[str] = set()
         self.leaving: set[str] = set()
         self.waits_until = 0.0
@@ -115,6 +119,7 @@
             upstream.bounds = bounds
         for budget in self.budgets.values():
             budget.bounds = bounds
+        self.cold_rates.clear()
 
     def set_shares(self, shares: FleetShares) -> None:
         """Change how the shared limits are divided among the instances."""
@@ -126,6 +131,7 @@
 
     def apply_shares(self) -> None:
         """Set the divisor of every upstream and budget."""
+        self.cold_rates.clear()
         for upstream in self.by_name.values():
             upstream.divisor = self.divisor(upstream.record.service)
         for name in self.limited:
@@ -218,6 +224,7 @@
         upstream.listed_at = now()
         upstream.held_until = self.hold_until(record)
         upstream.divisor = self.divisor(record.service)
+        upstream.cold_rate_source = self.cold_rate_here
         upstream.announcement_listener = self.handle_announcement
         upstream.wait_listener = self.handle_wait
         upstream.wait.phase = return_phase(self.instance_name, record.name)
@@ -332,19 +339,30 @@
 
     def apply_rate(self, upstream: Upstream) -> None:
         """Set this instance's part of the rate that an upstream announced."""
+        rate = self.rate_here(upstream, upstream.announcements.limit)
+        upstream.limit_rate(rate, now())
+
+    def cold_rate_here(self, upstream: Upstream) -> float:
+        """This instance's part of the requests per second that a cold upstream gets."""
+        name = upstream.record.name
+        if name not in self.cold_rates:
+            self.cold_rates[name] = self.rate_here(
+                upstream, total_cold_rate(upstream.limits, upstream.bounds)
+            )
+        return self.cold_rates[name]
+
+    def rate_here(self, upstream: Upstream, total: float) -> float:
+        """Part of an upstream's requests per second that this instance may send.
+
+        It is 0 if others call the upstream, since a rate of a few requests can't be divided among
+        hundreds.
+        """
         shares = self.shares_of(upstream.record.service)
         callers = shares.callers or (self.instance_name,)
         known = len(self.shares.instance_names) or 1
         # Instances that this one does not know, as after its start, may call as well.
         expected = len(callers) + max(0, shares.instances - known)
-        rate = caller_rate(
-            upstream.announcements.limit,
-            upstream.record.name,
-            self.instance_name,
-            callers,
-            expected,
-        )
-        upstream.limit_rate(rate, now())
+        return caller_rate(total, upstream.record.name, self.instance_name, callers, expected)
 
     def close(self) -> None:
         """Close the pooled connections of all upstreams."""
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -14,6 +14,7 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.announcement_headers import parse_announcements
 from mimosahoist.forward.announcements import AnnouncedWait, UpstreamAnnouncements
+from mimosahoist.forward.cold_rate import ColdRateLimiter, total_cold_rate
 from mimosahoist.forward.connection_pool import ConnectionPool
 from mimosahoist.forward.health import UpstreamHealth
 from mimosahoist.forward.outcomes import (
@@ -38,7 +39,6 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 CONNECTION_LIMIT_FRACTION = 0.9
-COLD_RATE_FRACTION = 0.6
 STATUS_MISDIRECTED = 421
 LOAD_REPORT_TTL_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
@@ -55,6 +55,8 @@
         Loop time at which each unfinished call started, by call number.
     divisor : float
         Divisor applied to limits shared by all instances to get this instance's share.
+    cold_rate_source : callable
+        Gives the requests per second that this instance may send while the upstream is cold.
     removed : bool
         True once the upstream was removed from the store or another instance answered at its
         address.
@@ -90,7 +92,8 @@
         self.last_call_number = 0
         self.divisor = 1.0
         self.cold_until = 0.0
-        self.cold_send_times: list[float] = []
+        self.cold_calls = ColdRateLimiter()
+        self.cold_rate_source: Callable[[Upstream], float] = total_cold_rate_of
         self.removed = False
         self.listed_at = 0.0
         self.held_until = 0.0
@@ -124,15 +127,8 @@
         return at < self.cold_until
 
     def within_cold_rate(self, at: float) -> bool:
-        """Whether this instance's share of a cold upstream's rate limit allows another call."""
-        if not self.limits.cold_rate:
-            return True
-        self.cold_send_times = [sent for sent in self.cold_send_times if sent > at - 1.0]
-        rate = self.limits.cold_rate * self.bounds.cold_headroom + self.bounds.cold_slack
-        share = rate * COLD_RATE_FRACTION / self.divisor
-        if share < 1.0:
-            return not self.cold_send_times or self.cold_send_times[-1] <= at - 1.0 / share
-        return len(self.cold_send_times) < int(share)
+        """Whether this instance's part of a cold upstream's rate limit allows another call."""
+        return not self.limits.cold_rate or self.cold_calls.allows(self.cold_rate_source(self), at)
 
     def limit_rate(self, rate: float, at: float) -> None:
         """Limit this instance's calls to a rate in requests per second."""
@@ -210,8 +206,8 @@
         self.last_call_number += 1
         number = self.last_call_number
         self.in_flight[number] = started
-        if self.cold(started):
-            self.cold_send_times.append(started)
+        if self.limits.cold_rate and self.cold(started):
+            self.cold_calls.record_call(started)
         if self.rate_limiter is not None:
             self.rate_limiter.take(started)
         try:
@@ -395,3 +391,8 @@
         """Close the idle connections; calls in flight run to completion."""
         self.removed = True
         self.pool.close_idle()
+
+
+def total_cold_rate_of(upstream: Upstream) -> float:
+    """Rate of a cold upstream for an instance that has no others beside it."""
+    return total_cold_rate(upstream.limits, upstream.bounds)
--- a/libs/forward/tests/fakes.py
+++ b/libs/forward/tests/fakes.py
@@ -85,6 +85,7 @@
         name = f"{service}-{domain}"
         record = UpstreamRecord(name, service, "127.0.0.1:1", domain, slots=4, **fields)
         upstream = FakeUpstream(record, ServiceLimits(service), self.fleet.bounds, HEADER_NAMES)
+        upstream.cold_rate_source = self.fleet.cold_rate_here
         upstream.script = script or fast_answers(name)
         upstream.arrivals = []
         upstream.forwarded_headers = []
--- a/libs/forward/tests/test_decisions.py
+++ b/libs/forward/tests/test_decisions.py
@@ -19,7 +19,7 @@
 from mimosahoist.forward.repeat_budget import RepeatBudget
 from mimosahoist.forward.route_timing import RouteTiming
 from mimosahoist.forward.routing import RouteTable
-from mimosahoist.forward.shares import WindowedShare
+from mimosahoist.forward.shares import FleetShares, Shares, WindowedShare
 from mimosahoist.lab.paused_loop import PausedTestCase
 
 NO_DOMAINS = frozenset()
@@ -203,17 +203,20 @@
 
     async def test_cold_rate_is_divided_among_instances(self) -> None:
         bounds = SharedBounds(cold_headroom=1.5, cold_slack=5.0)
+        names = tuple(f"front-{number}" for number in range(8))
         sent = 0
-        for _ in range(8):
+        for name in names:
             fixture = EngineFixture(bounds)
+            fixture.fleet.instance_name = name
+            fixture.fleet.set_shares(FleetShares(Shares(8), Shares(8), names))
             upstream = fixture.add("s", "a")
             upstream.limits = upstream.limits.__class__("s", cold_rate=10.0)
-            upstream.divisor = 8
             upstream.cold_until = now() + 100.0
             for _ in range(50):
                 if upstream.has_capacity(now()):
-                    upstream.cold_send_times.append(now())
+                    upstream.cold_calls.record_call(now())
                     sent += 1
+        self.assertGreater(sent, 0)
         self.assertLessEqual(sent, 10 * 1.5 + 5)
 
 
