A failure of an upstream that may have run a booking is passed on as 502

Cause: an upstream's status is returned unchanged, and the statuses 408, 421, 429 and 503 mean something else from an upstream than to a caller: there, only Not-Executed says that nothing ran.

Evidence: test_failure_of_an_upstream_that_may_have_run_a_booking_is_no_promise failed before for 408, 429 and 503.

Change: on routes that may not be repeated such an answer ends as `Failed`. On the others it is passed on with its Retry-After: running them again does no harm, and waiting as told does good.

--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -27,6 +27,9 @@
     from mimosahoist.forward.request import CallerRequest
     from mimosahoist.forward.upstream import Upstream
 
+# Statuses by which callers take it that their request has not run and never will.
+STATUSES_PROMISING_NOT_RUN = frozenset((408, 421, 429, 503))
+
 
 class PlainForward:
     """Forwards a request to one upstream of the route's service.
@@ -148,6 +151,9 @@
         """Build the outcome of the request."""
         answer = self.answer or (self.failure if not self.calls else None)
         if answer is not None:
+            if not self.route.repeatable and answer.status in STATUSES_PROMISING_NOT_RUN:
+                # The upstream did not say so, and the status would make the caller send it again.
+                return Failed(f"an upstream that may have run it answered {answer.status}")
             return Forwarded(answer, self.answered_by)
         if not self.runs and not self.calls:
             return NotRun(
--- a/libs/forward/tests/test_plain.py
+++ b/libs/forward/tests/test_plain.py
@@ -90,6 +90,15 @@
             fixture.add("desk", domain, lambda n: (0.001, Refused(503)))
         self.assertIsInstance(await self.forward(fixture, NON_IDEMPOTENT), NotRun)
 
+    async def test_failure_of_an_upstream_that_may_have_run_a_booking_is_no_promise(self) -> None:
+        for status in (408, 429, 503):
+            with self.subTest(status):
+                fixture = EngineFixture(AMPLE_BUDGET)
+                desk = fixture.add("desk", "a", lambda n, s=status: (0.01, answered("x", status=s)))
+                fixture.add("desk", "b")
+                self.assertIsInstance(await self.forward(fixture, NON_IDEMPOTENT), Failed)
+                self.assertEqual(len(desk.arrivals), 1)
+
     async def test_call_that_raised_an_error_is_not_reported_as_not_run(self) -> None:
         for kind in RouteKind:
             with self.subTest(kind=kind):
