A small share of calls goes to all routes alike

Cause: the target's share was spent on requests as they came, so that a route of 3 in 100 had three in a hundred of a small share: less than one call before the trial.

Evidence: test_small_share_is_spent_on_all_routes_alike (one call in 20 on the rare route: it gets half of the share).

Change: a call that is due to the target is left to the routes on which it has had the fewest here, until a second one is due. The share itself stays the same.

--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -98,10 +98,10 @@
         split = self.fleet.splits.get(service)
         if split is None:
             return choose(upstreams, tried, context)
-        for group in split.candidate_groups(upstreams, not tried):
+        for group in split.candidate_groups(upstreams, route.name, not tried):
             chosen = choose(group, tried, context)
             if chosen is not None:
-                split.record_call(chosen, not tried)
+                split.record_call(chosen, route.name, not tried)
                 return chosen
         return None
 
--- a/libs/forward/src/mimosahoist/forward/version_split.py
+++ b/libs/forward/src/mimosahoist/forward/version_split.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.tasks import now
@@ -21,6 +22,7 @@
     """Limits the share of an instance's calls that goes to the target version.
 
     Calls are counted rather than drawn at random, so that the share is never exceeded by chance.
+    All routes get alike of a small share, since a version may be faulty on one with few calls only.
 
     Attributes
     ----------
@@ -47,6 +49,7 @@
         self.calls = 0
         self.target_calls = 0
         self.target_requests = 0
+        self.target_calls_by_route: Counter[str] = Counter()
         self.numbers = CallNumbers()
         self.latest_elapsed = 0.0
         self.latest_elapsed_at = at
@@ -58,6 +61,7 @@
             self.calls = 0
             self.target_calls = 0
             self.target_requests = 0
+            self.target_calls_by_route.clear()
 
     def update(self, rollout: Rollout, at: float) -> None:
         """Apply a newer state of the same rollout."""
@@ -130,11 +134,15 @@
             )
         ]
 
-    def candidate_groups(self, upstreams: list[Upstream], first: bool) -> list[list[Upstream]]:
+    def candidate_groups(
+        self, upstreams: list[Upstream], route: str, first: bool
+    ) -> list[list[Upstream]]:
         """Groups of upstreams to try in order.
 
         Parameters
         ----------
+        route : str
+            Name of the request's route.
         first : bool
             Whether this is a request's first call; retries and hedges go to the other versions,
             which are known to work. In the last step there are none, and repeats are few, because
@@ -147,15 +155,27 @@
         if not 0.0 < self.weight < 1.0:
             return [upstreams]
         others = [upstream for upstream in upstreams if not self.is_target(upstream)]
-        if not first or self.target_calls + 1 > self.weight * (self.calls + 1):
+        if not first or not self.is_targets_turn(route):
             return [others]
         # Cold upstreams are slow at any version, so that calls to them would show nothing.
         warm = [item for item in upstreams if self.is_target(item) and not item.cold(now())]
         return [warm, others]
 
-    def record_call(self, upstream: Upstream, first: bool) -> None:
+    def is_targets_turn(self, route: str) -> bool:
+        """Whether the share allows the target a call of a route.
+
+        A call that is due is left to the routes with the fewest, until a second one is due.
+        """
+        due = self.weight * (self.calls + 1) - self.target_calls
+        counts = self.target_calls_by_route
+        # A route is counted from its first call, also if that goes to another version.
+        counts.setdefault(route, 0)
+        return due >= (1.0 if counts[route] <= min(counts.values()) else 2.0)
+
+    def record_call(self, upstream: Upstream, route: str, first: bool) -> None:
         """Count a call towards the share, and a request if it is its first call."""
         is_target = self.is_target(upstream)
+        self.target_calls_by_route[route] += is_target
         self.calls += 1
         self.target_calls += is_target
         self.target_requests += is_target and first
--- a/libs/forward/tests/test_rollout_plan.py
+++ b/libs/forward/tests/test_rollout_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from fakes import EngineFixture, plain_route
 
@@ -192,6 +193,19 @@
         self.assertEqual(len(split.eligible(upstreams, 5.0)), 1)
         self.assertEqual(len(split.eligible(upstreams, 5.0 + COMPLETED_HOLD_SECONDS)), 3)
 
+    async def test_small_share_is_spent_on_all_routes_alike(self) -> None:
+        fixture, split = await self.make_split()
+        split.set_weight(0.1)
+        routes = [replace(plain_route(), name=name) for name in ("common", "rare")]
+        target = {"common": 0, "rare": 0}
+        for number in range(1, 1001):
+            route = routes[number % 20 == 0]
+            chosen = fixture.engine.choose(route, "desk", set())
+            target[route.name] += chosen.record.version == "v2"
+            self.assertLessEqual(sum(target.values()), 0.1 * number)
+        self.assertEqual(target["rare"], 50)
+        self.assertGreater(target["common"], 45)
+
     async def test_share_is_never_exceeded_and_repeats_go_to_other_versions(self) -> None:
         fixture, split = await self.make_split()
         weight = 0.04
