--- a/libs/core/src/mimosahoist/core/tasks.py
+++ b/libs/core/src/mimosahoist/core/tasks.py
@@ -57,3 +57,14 @@
     loop = asyncio.get_running_loop()
     provided = getattr(loop, "unix_time", None)
     return provided() if provided is not None else time.time()
+
+
+def boot_time() -> float:
+    """Return the seconds since the machine started, with the time in which it was suspended.
+
+    Leases are counted on it: the monotonic clock of the event loop stands still in a suspension. A
+    loop with a simulated clock may supply it.
+    """
+    loop = asyncio.get_running_loop()
+    provided = getattr(loop, "boot_time", None)
+    return provided() if provided is not None else time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/libs/lab/src/mimosahoist/lab/paused_loop.py
+++ b/libs/lab/src/mimosahoist/lab/paused_loop.py
@@ -42,10 +42,13 @@
     ----------
     unix_offset : float
         Seconds by which the time of day has been set ahead, negative if it was set back.
+    suspended_seconds : float
+        Seconds for which the machine was suspended, and the monotonic clock stood still.
     """
 
     def __init__(self) -> None:
         self.unix_offset = 0.0
+        self.suspended_seconds = 0.0
         self.clock_selector = PausedClockSelector()
         super().__init__(self.clock_selector)
 
@@ -55,7 +58,11 @@
 
     def unix_time(self) -> float:
         """Return the simulated Unix time in seconds."""
-        return START_UNIX_SECONDS + self.unix_offset + self.clock_selector.time
+        return START_UNIX_SECONDS + self.unix_offset + self.boot_time()
+
+    def boot_time(self) -> float:
+        """Return the simulated time since the machine's start in seconds, suspensions included."""
+        return self.suspended_seconds + self.clock_selector.time
 
 
 def run_paused(coroutine: Coroutine[Any, Any, Any]) -> Any:
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -15,6 +15,7 @@
     decode_frame,
     encode_frame,
 )
+from mimosahoist.peers.inquiries import INQUIRY_PREFIX, Inquiries
 from mimosahoist.peers.members import (
     MEMBER_PREFIX,
     OBSERVED_PREFIX,
@@ -91,6 +92,9 @@
         self.push_interval = push_interval
         self.tasks = TaskSet()
         self.prober = Prober(self)
+        self.inquiries = Inquiries(
+            identity.cluster, identity.instance, identity.peer_address, transport, metrics
+        )
         self.progress = ProgressTable(identity.incarnation, fact_table, objects, instances)
         self.cached_members: dict[str, Member] = {}
         self.cached_members_version = -1
@@ -127,6 +131,7 @@
         if self.push_timer is not None:
             self.push_timer.cancel()
         await self.tasks.close()
+        await self.inquiries.close()
         await self.transport.close()
 
     def publish_self(self, state: MemberState) -> None:
@@ -300,6 +305,9 @@
 
     def handle_frame(self, data: bytes) -> None:
         """Process a frame; drop and count a malformed one or one of another cluster or protocol."""
+        if data.startswith(INQUIRY_PREFIX):
+            self.inquiries.handle(data)
+            return
         try:
             frame = decode_frame(data)
         except DECODE_ERRORS:
