--- a/libs/forward/src/mimosahoist/forward/declarations.py
+++ b/libs/forward/src/mimosahoist/forward/declarations.py
@@ -39,6 +39,8 @@
         Maximum number of records in a gathered answer.
     min_coverage : float
         Minimum share of shards for a gathered answer to count as a success.
+    is_open : bool
+        Whether requests need no key, although organisations are declared.
     """
 
     name: str
@@ -53,6 +55,7 @@
     shards: tuple[str, ...] = ()
     result_limit: int = 0
     min_coverage: float = 1.0
+    is_open: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -89,14 +92,38 @@
     idle_timeout: float = 60.0
 
 
+@dataclass(frozen=True)
+class Organisation:
+    """A customer whose callers are known by keys.
+
+    Attributes
+    ----------
+    keys : tuple of str
+        Each of them identifies callers of this organisation.
+    priority : int or None
+        Rank of its requests, 0 being the highest; None if that of the route applies.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
 @dataclass(frozen=True)
 class Configuration:
-    """One version of all routes, service limits and caller limits."""
+    """One version of all routes, service limits, caller limits and organisations.
+
+    Attributes
+    ----------
+    organisations : tuple of Organisation or None
+        None if callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceLimits] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    organisations: tuple[Organisation, ...] | None = None
 
 
 class UpstreamRecord(NamedTuple):
@@ -145,6 +172,9 @@
     exposure_share, exposure_slack : float
         Share of a service's requests during a rollout, and number of requests beyond it, that its
         target version may get before it has proved good.
+    revocation_seconds : float
+        Time within which every instance refuses a key that was taken away, whether it is in touch
+        with the store or not; 0 if a key may be taken until the instance learns of it.
     """
 
     repeat_ratio: float = 0.1
@@ -157,3 +187,4 @@
     recheck_seconds: float = 2.0
     exposure_share: float = 0.1
     exposure_slack: float = 50.0
+    revocation_seconds: float = 0.0
--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -14,12 +14,16 @@
 from mimosahoist.forward.declarations import CallerLimits
 from mimosahoist.forward.gather import ScatterGather
 from mimosahoist.forward.headers import end_to_end_headers
+from mimosahoist.forward.organisations.keys import CallerIdentity, replace_key
+from mimosahoist.forward.organisations.usage_meter import RequestUsage
 from mimosahoist.forward.outcomes import Forwarded, Gathered, NotRun, Parts, RequestOutcome
 from mimosahoist.forward.plain import PlainForward
 from mimosahoist.forward.request import CallerRequest
 from mimosahoist.forward.return_time import return_to_another_instance
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tornado.httputil import HTTPHeaders
 
     from mimosahoist.core.metrics import Metrics
@@ -27,7 +31,9 @@
     from mimosahoist.forward.delegation import Delegation
     from mimosahoist.forward.engine import ForwardEngine
     from mimosahoist.forward.headers import HeaderNames
+    from mimosahoist.forward.organisations.usage_meter import UsageMeter
     from mimosahoist.forward.relay import RelayClient
+    from mimosahoist.forward.routing import RouteTable
     from mimosahoist.forward.state_cache import StateCache
 
 NO_CONFIGURATION = NotRun("no configuration is known yet", 0.5)
@@ -52,6 +58,10 @@
         Delegation of first calls for searches gathered here.
     stopping : bool
         Whether requests are rejected, because the instance stops before they could be answered.
+    keys_current : callable
+        Tells whether this instance may rely on the keys that it knows.
+    usage_meter : UsageMeter or None
+        Counts the requests of each organisation; None if they are not reported.
     """
 
     label = "request"
@@ -73,6 +83,8 @@
         self.header_names = header_names
         self.metrics = metrics
         self.stopping = False
+        self.keys_current: Callable[[], bool] = lambda: True
+        self.usage_meter: UsageMeter | None = None
         self.rewritten_headers = frozenset(
             (header_names.time_left.lower(), header_names.wanted_upstream.lower())
         )
@@ -97,12 +109,36 @@
             return NO_ROUTE
         if not headers.get(self.header_names.request_id):
             return NO_REQUEST_ID
+        identity = self.identify(routes, route, headers)
+        if not isinstance(identity, CallerIdentity):
+            return identity
         if self.engine.reachability.unreachable_domains and not self.engine.is_reachable(route):
             return self.reject_unreachable()
         request = self.make_request(route, method, target, headers, body)
+        self.set_identity(request, routes, identity)
         if self.engine.crashes.records and self.engine.crashes.is_rejected(request.fingerprint):
             return CRASHES_UPSTREAMS
-        return await self.execute(request)
+        outcome = await self.execute(request)
+        request.record_end(not isinstance(outcome, NotRun | Refusal))
+        return outcome
+
+    def identify(
+        self, routes: RouteTable, route: Route, headers: HTTPHeaders
+    ) -> CallerIdentity | Refusal | NotRun:
+        """Identify the organisation of the caller, or refuse the request."""
+        return routes.keys.identify(route, headers, self.header_names, self.keys_current())
+
+    def set_identity(
+        self, request: CallerRequest, routes: RouteTable, identity: CallerIdentity
+    ) -> None:
+        """Pass the organisation on in place of the key, and count the request for it."""
+        if identity.priority is not None:
+            request.priority = identity.priority
+        if not routes.keys.enabled or self.serves_instances:
+            return
+        replace_key(request.headers, self.header_names, identity)
+        if self.usage_meter is not None and identity.organisation is not None:
+            request.usage = RequestUsage(self.usage_meter, identity.organisation)
 
     def reject_unreachable(self) -> NotRun:
         """Reject a request that too few upstreams within reach of this instance could serve."""
@@ -146,6 +182,7 @@
             min(arrived + route.timeout, caller_deadline - CALLER_DEADLINE_MARGIN_SECONDS),
             arrived + route.target_latency - waited - CALLER_ROUND_TRIP_SECONDS,
             self.state_cache.routes.configuration.version,
+            route.priority,
         )
 
     def record_outcome(
--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -8,7 +8,7 @@
 
 from mimosahoist.core import json_log
 from mimosahoist.core.problem import Problem
-from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.core.tasks import TaskSet, boot_time, now
 from mimosahoist.forward.revision_tracker import RevisionTracker
 from mimosahoist.platform.watched import HistoryLost, WatchedItem, WatchedKind, epoch_of
 
@@ -84,6 +84,9 @@
         Revisions of the changes received from the store or from any peer.
     synced_listeners : list of callable
         Called with a revision up to which all changes are known here.
+    confirmation_listeners : list of callable
+        Called with a time, on the clock that counts suspensions, at which the configuration known
+        here was the store's.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         self.peer_view = peer_view
         self.recovery_listeners: list[Callable[[], None]] = []
         self.synced_listeners: list[Callable[[int], None]] = []
+        self.confirmation_listeners: list[Callable[[float], None]] = []
         self.revisions = RevisionTracker()
         state_cache.listeners.append(self.record_revision)
         self.tasks = TaskSet()
@@ -171,6 +175,7 @@
     async def list_kind(self, kind: WatchedKind) -> int:
         """List a kind and remove what the list lacks; return the store's revision."""
         self.metrics.count("store_lists")
+        asked_at = boot_time()
         listing = await self.store.list(kind)
         self.mark_store_available(kind)
         self.record_epoch(listing.revision)
@@ -181,8 +186,28 @@
             if name not in listed
         ]
         self.apply_changes(kind, listing._replace(items=listing.items + removed))
+        if kind is WatchedKind.CONFIGURATION or self.revisions.covers(listing.revision):
+            self.notify_confirmed(asked_at)
         return listing.revision
 
+    async def confirm_configuration(self) -> None:
+        """Read from the store whether the configuration known here is the current one.
+
+        Raises
+        ------
+        Problem
+            If the store gives no answer.
+        """
+        # The list of evacuations is the shortest, and tells the store's revision.
+        revision = await self.list_kind(WatchedKind.DOMAINS_OUT)
+        if not self.revisions.covers(revision):
+            await self.list_kind(WatchedKind.CONFIGURATION)
+
+    def notify_confirmed(self, asked_at: float) -> None:
+        """Call listeners because the configuration was the store's when it was asked."""
+        for listener in self.confirmation_listeners:
+            listener(asked_at)
+
     async def watch_kind(self, kind: WatchedKind, revision: int) -> int:
         """Wait for one batch of changes of a kind; return the revision to continue from."""
         self.metrics.count("store_watches")
--- a/libs/forward/src/mimosahoist/forward/headers.py
+++ b/libs/forward/src/mimosahoist/forward/headers.py
@@ -50,6 +50,10 @@
         Requests per second that the upstream accepts from all instances together.
     leaving : str
         A number other than 0 if the upstream is about to leave.
+    organisation : str
+        Name of the organisation that a caller's key belongs to.
+    key_scheme : str
+        Scheme of the ``Authorization`` header with which callers send their keys.
     """
 
     request_id: str = "X-Request-Id"
@@ -63,6 +67,8 @@
     cold_left: str = "X-Cold-Left"
     limit: str = "X-Limit"
     leaving: str = "X-Leaving"
+    organisation: str = "X-Organisation"
+    key_scheme: str = "Bearer"
 
 
 def end_to_end_headers(headers: HTTPHeaders, dropped: frozenset[str]) -> HTTPHeaders:
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -18,6 +18,9 @@
 from mimosahoist.forward.front import CallerFrontend
 from mimosahoist.forward.gathering import GatheringRoles
 from mimosahoist.forward.merge import RecordMerger
+from mimosahoist.forward.organisations.configuration_lease import ConfigurationLease
+from mimosahoist.forward.organisations.confirmation import ConfigurationConfirmer
+from mimosahoist.forward.organisations.usage_reporter import UsageReporter
 from mimosahoist.forward.peers import Peers
 from mimosahoist.forward.relay import RelayClient
 from mimosahoist.forward.relay_server import RelayDispatcher
@@ -34,6 +37,7 @@
     from mimosahoist.forward.declarations import Route, SharedBounds
     from mimosahoist.forward.headers import HeaderNames
     from mimosahoist.forward.instance_settings import InstanceSettings
+    from mimosahoist.forward.organisations.usage_platform import UsagePlatform
     from mimosahoist.peers.transport import PeerTransport
     from mimosahoist.platform.watched import WatchedItem, WatchedStore
 
@@ -58,6 +62,7 @@
         peer_transport: PeerTransport,
         metrics: Metrics,
         rng: random.Random,
+        usage_platform: UsagePlatform | None = None,
     ) -> None:
         self.settings = settings
         self.bounds = bounds
@@ -101,6 +106,21 @@
             self.relays,
             delegation,
         )
+        self.confirmer = ConfigurationConfirmer(
+            ConfigurationLease(bounds.revocation_seconds),
+            self.state_cache,
+            self.follower,
+            self.peers,
+            metrics,
+            rng,
+        )
+        self.dispatcher.keys_current = lambda: self.confirmer.holds
+        self.usage: UsageReporter | None = None
+        if settings.usage is not None and usage_platform is not None:
+            self.usage = UsageReporter(
+                settings.usage, usage_platform, self.peers, self.has_organisations, metrics
+            )
+            self.dispatcher.usage_meter = self.usage.meter
         self.frontend = CallerFrontend(self.dispatcher)
         self.relay_dispatcher = RelayDispatcher(
             self.state_cache, self.engine, header_names, metrics, delegation
@@ -118,6 +138,9 @@
         await self.follower.start()
         await self.rollouts.start()
         await self.gathering.start()
+        await self.confirmer.start()
+        if self.usage is not None:
+            await self.usage.start()
         self.caller_server = HTTPServer(
             self.frontend, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
         )
@@ -139,6 +162,11 @@
         self.tasks.spawn(self.log_repeat_usage(), "log repeat budgets")
         json_log.info("listening", address=self.settings.callers_address)
 
+    def has_organisations(self) -> bool:
+        """Whether the configuration in force declares organisations."""
+        routes = self.state_cache.routes
+        return routes is not None and routes.keys.enabled
+
     def handle_item(self, kind: WatchedKind, item: WatchedItem) -> None:
         """Update limits and roles after a change of configuration or evacuated failure domains."""
         if kind in (WatchedKind.CONFIGURATION, WatchedKind.DOMAINS_OUT):
@@ -175,6 +203,7 @@
         self.bounds = bounds
         self.fleet.set_bounds(bounds)
         self.follower.recheck_seconds = bounds.recheck_seconds
+        self.confirmer.lease.set_revocation(bounds.revocation_seconds)
         json_log.info("bounds changed", **bounds._asdict())
 
     async def monitor_reachability(self) -> None:
@@ -210,7 +239,7 @@
     def ready(self) -> bool:
         """Whether the load balancer should send callers to this instance."""
         known = self.state_cache.routes is not None and bool(self.fleet.by_name)
-        return known and self.can_serve and not self.draining
+        return known and self.can_serve and self.confirmer.holds and not self.draining
 
     def render_metrics(self) -> str:
         """All counters and latencies as text."""
@@ -235,6 +264,8 @@
             self.frontend.close_idle_connections()
         json_log.info("drained", open_requests=self.frontend.open_requests)
         await self.frontend.end_open_requests()
+        if self.usage is not None:
+            await self.usage.flush()
         await self.peers.leave()
 
     @property
@@ -248,6 +279,9 @@
             server.stop()
         await self.tasks.close()
         await self.gathering.close()
+        if self.usage is not None:
+            await self.usage.close()
+        await self.confirmer.close()
         await self.rollouts.close()
         await self.follower.close()
         await self.frontend.tasks.close()
--- a/libs/forward/src/mimosahoist/forward/instance_settings.py
+++ b/libs/forward/src/mimosahoist/forward/instance_settings.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from mimosahoist.forward.organisations.usage_duty import UsageSettings
+
 
 class InstanceSettings(NamedTuple):
     """Addresses, location and size of an instance; addresses are ``host:port``.
@@ -19,6 +21,8 @@
     expected_instances : int
         Minimum number of instances by which shared limits are divided, so that they also hold
         before peers are known.
+    usage : UsageSettings or None
+        How the organisations' requests are reported; None if they are not.
     """
 
     name: str
@@ -32,3 +36,4 @@
     relay_address: str = ""
     capacity: float = 1.0
     expected_instances: int = 8
+    usage: UsageSettings | None = None
--- /dev/null
+++ b/libs/forward/src/mimosahoist/forward/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations: their callers' keys, and the count of their requests."""
--- a/libs/forward/src/mimosahoist/forward/peers.py
+++ b/libs/forward/src/mimosahoist/forward/peers.py
@@ -37,6 +37,7 @@
     from mimosahoist.forward.fleet import UpstreamFleet
     from mimosahoist.forward.instance_settings import InstanceSettings
     from mimosahoist.forward.state_cache import StateCache
+    from mimosahoist.peers.inquiries import Inquiries
     from mimosahoist.peers.transport import PeerTransport
 
 CLUSTER_NAME = "mimosahoist"
@@ -156,6 +157,7 @@
         )
         self.cached_alive_version = -1
         self.cached_alive = frozenset((settings.name,))
+        self.cached_ranking = [settings.name]
         self.cached_rank = 0
         capacity = settings.capacity if settings.relay_address else 0.0
         self.advertised: tuple[float, str] = (capacity, settings.relay_address)
@@ -233,8 +235,29 @@
         }
         self.cached_alive = frozenset(alive | {self.name})
         own = hash_text(self.name)
+        self.cached_ranking = sorted(self.cached_alive, key=hash_text, reverse=True)
         self.cached_rank = sum(hash_text(name) > own for name in self.cached_alive)
 
+    def ranked_names(self) -> list[str]:
+        """Names of the instances that answer probes, in rendezvous order."""
+        self.update_alive()
+        return self.cached_ranking
+
+    def address_of(self, name: str) -> str | None:
+        """Peer address of an instance; None if it is not known."""
+        member = self.exchange.members().get(name)
+        return None if member is None else member.peer_address
+
+    @property
+    def inquiries(self) -> Inquiries:
+        """Questions to single instances."""
+        return self.exchange.inquiries
+
+    @property
+    def heard_recently(self) -> bool:
+        """Whether any other instance was heard of lately."""
+        return now() - self.exchange.last_contact <= PEER_CONTACT_TIMEOUT_SECONDS
+
     def reads_store_at_start(self) -> bool:
         """Whether this instance is a seed of the others, or has no seeds to get state from."""
         exchange = self.exchange
@@ -245,7 +268,7 @@
 
         An instance that is partitioned from the others gets no changes from their watches.
         """
-        if now() - self.exchange.last_contact > PEER_CONTACT_TIMEOUT_SECONDS:
+        if not self.heard_recently:
             return True
         return self.rank() < STORE_WATCHERS
 
--- a/libs/forward/src/mimosahoist/forward/relay_server.py
+++ b/libs/forward/src/mimosahoist/forward/relay_server.py
@@ -16,10 +16,13 @@
     from tornado.httputil import HTTPHeaders
 
     from mimosahoist.core.metrics import Metrics
+    from mimosahoist.forward.declarations import Route
     from mimosahoist.forward.delegation import Delegation
     from mimosahoist.forward.engine import ForwardEngine
     from mimosahoist.forward.headers import HeaderNames
+    from mimosahoist.forward.organisations.keys import CallerIdentity
     from mimosahoist.forward.request import CallerRequest
+    from mimosahoist.forward.routing import RouteTable
     from mimosahoist.forward.state_cache import StateCache
 
 UNFINISHED_RETENTION_SECONDS = 10.0
@@ -75,6 +78,10 @@
             return VERSION_MISMATCH
         return await super().dispatch(method, target, headers, body)
 
+    def identify(self, routes: RouteTable, route: Route, headers: HTTPHeaders) -> CallerIdentity:
+        """Return the identity that the instance found that took the request from its caller."""
+        return routes.keys.identified_before(headers, self.header_names)
+
     async def execute(self, request: CallerRequest) -> RequestOutcome | Refusal:
         """Start or poll delegated calls if requested, or execute the whole request."""
         encoded_shards = request.headers.pop(SHARDS_HEADER, "")
--- a/libs/forward/src/mimosahoist/forward/request.py
+++ b/libs/forward/src/mimosahoist/forward/request.py
@@ -11,6 +11,7 @@
     from tornado.httputil import HTTPHeaders
 
     from mimosahoist.forward.declarations import Route
+    from mimosahoist.forward.organisations.usage_meter import RequestUsage
 
 
 @dataclass
@@ -30,6 +31,10 @@
         When an answer stops earning full credit.
     version : int
         Version of the configuration that the route belongs to.
+    priority : int
+        Rank of the request, 0 being the highest.
+    usage : RequestUsage or None
+        Count for the organisation; None if there is none, or another instance counts it.
     """
 
     id: str
@@ -43,6 +48,27 @@
     deadline: float
     soft_deadline: float
     version: int = 0
+    priority: int = 0
+    usage: RequestUsage | None = None
+
+    def record_call(self) -> None:
+        """Count the request for its organisation, as one of its calls begins."""
+        if self.usage is not None:
+            self.usage.begin()
+
+    def record_call_not_run(self) -> None:
+        """Take a plain request out of the count, as its call did not run; the next one counts."""
+        if self.usage is not None and not self.route.shards:
+            self.usage.withdraw()
+
+    def record_end(self, may_have_run: bool) -> None:
+        """Settle whether the request counts, at its end."""
+        if self.usage is None:
+            return
+        if may_have_run:
+            self.usage.begin()
+        else:
+            self.usage.withdraw()
 
     @property
     def fingerprint(self) -> str:
--- a/libs/forward/src/mimosahoist/forward/routing.py
+++ b/libs/forward/src/mimosahoist/forward/routing.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from mimosahoist.forward.organisations.keys import KeyRing
+
 if TYPE_CHECKING:
     import random
 
@@ -11,10 +13,11 @@
 
 
 class RouteTable:
-    """Routes of one configuration version."""
+    """Routes and keys of one configuration version."""
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
+        self.keys = KeyRing(configuration)
         self.by_host: dict[str, list[Route]] = {}
         for route in configuration.routes:
             self.by_host.setdefault(route.host.lower(), []).append(route)
--- a/libs/forward/src/mimosahoist/forward/state_cache.py
+++ b/libs/forward/src/mimosahoist/forward/state_cache.py
@@ -51,6 +51,13 @@
         """Names of the items of a kind that exist."""
         return [name for name, item in self.items[kind].items() if item.value is not None]
 
+    def configuration_position(self) -> tuple[int, int]:
+        """Version of the configuration in force and the newest position at which it is known."""
+        if self.routes is None:
+            return 0, 0
+        revisions = [item.revision for item in self.items[WatchedKind.CONFIGURATION].values()]
+        return self.routes.configuration.version, max(revisions, default=0)
+
     def put_if_newer(self, kind: WatchedKind, item: WatchedItem) -> bool:
         """Store an item if it is newer than the cached one; return whether it was."""
         cached = self.items[kind].get(item.name)
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -210,6 +210,7 @@
             self.cold_calls.record_call(started)
         if self.rate_limiter is not None:
             self.rate_limiter.take(started)
+        request.record_call()
         try:
             outcome = await self.perform(request, number, until)
         except asyncio.CancelledError:
@@ -218,6 +219,8 @@
         finally:
             self.in_flight.pop(number, None)
         self.health.record_outcome(outcome, now())
+        if isinstance(outcome, Refused | Unreached):
+            request.record_call_not_run()
         if isinstance(outcome, Answered):
             self.wait.record_served(now(), self.record.slots)
         return outcome
