--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -10,7 +10,13 @@
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
-from mimosahoist.forward.admission import NO_REQUEST_ID, NO_ROUTE, Refusal, parse_time_left
+from mimosahoist.forward.admission.return_time import return_to_another_instance
+from mimosahoist.forward.admission.validation import (
+    NO_REQUEST_ID,
+    NO_ROUTE,
+    Refusal,
+    parse_time_left,
+)
 from mimosahoist.forward.declarations import CallerLimits
 from mimosahoist.forward.gather import ScatterGather
 from mimosahoist.forward.headers import end_to_end_headers
@@ -19,7 +25,6 @@
 from mimosahoist.forward.outcomes import Forwarded, Gathered, NotRun, Parts, RequestOutcome
 from mimosahoist.forward.plain import PlainForward
 from mimosahoist.forward.request import CallerRequest
-from mimosahoist.forward.return_time import return_to_another_instance
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.tasks import TaskSet, now
-from mimosahoist.forward.choice import ChoiceContext, choose
+from mimosahoist.forward.balancing.choice import ChoiceContext, choose
 from mimosahoist.forward.completion import required_parts
 from mimosahoist.forward.crash_tracker import CrashTracker
 from mimosahoist.forward.domain_reachability import DomainReachability
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -18,7 +18,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.decimal_text import parse_integer
 from mimosahoist.core.tasks import TaskSet, now
-from mimosahoist.forward.admission import Refusal
+from mimosahoist.forward.admission.validation import Refusal
 from mimosahoist.forward.delegation import (
     FAILED_SHARDS_HEADER,
     PENDING_SHARDS_HEADER,
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -7,6 +7,7 @@
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
+from mimosahoist.forward.admission.return_time import return_after_wait
 from mimosahoist.forward.completion import (
     Progress,
     Verdict,
@@ -33,7 +34,6 @@
     RequestOutcome,
     Unreached,
 )
-from mimosahoist.forward.return_time import return_after_wait
 from mimosahoist.forward.shard_search import Part, ShardSearch
 
 if TYPE_CHECKING:
--- a/libs/forward/src/mimosahoist/forward/organisations/keys.py
+++ b/libs/forward/src/mimosahoist/forward/organisations/keys.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from mimosahoist.forward.admission import Refusal
+from mimosahoist.forward.admission.validation import Refusal
 from mimosahoist.forward.outcomes import NotRun
 
 if TYPE_CHECKING:
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -7,6 +7,7 @@
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
+from mimosahoist.forward.admission.return_time import return_after_wait
 from mimosahoist.forward.engine import SUPERSEDED_CALL_GRACE_SECONDS, certainly_not_run
 from mimosahoist.forward.outcomes import (
     Answered,
@@ -19,7 +20,6 @@
     RequestOutcome,
     Unreached,
 )
-from mimosahoist.forward.return_time import return_after_wait
 from mimosahoist.forward.routing import pick_service
 
 if TYPE_CHECKING:
--- a/libs/forward/src/mimosahoist/forward/relay_server.py
+++ b/libs/forward/src/mimosahoist/forward/relay_server.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.decimal_text import parse_decimal
-from mimosahoist.forward.admission import Refusal
+from mimosahoist.forward.admission.validation import Refusal
 from mimosahoist.forward.delegation import ANSWER_WITHIN_HEADER, SHARDS_HEADER, DelegatedCalls
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.outcomes import NotRun, Parts, RequestOutcome
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -14,9 +14,10 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.announcement_headers import parse_announcements
 from mimosahoist.forward.announcements import AnnouncedWait, UpstreamAnnouncements
+from mimosahoist.forward.balancing.health import UpstreamHealth
+from mimosahoist.forward.balancing.reported_load import ReportedLoad
 from mimosahoist.forward.cold_rate import ColdRateLimiter, total_cold_rate
 from mimosahoist.forward.connection_pool import ConnectionPool
-from mimosahoist.forward.health import UpstreamHealth
 from mimosahoist.forward.outcomes import (
     Answered,
     CallOutcome,
@@ -27,7 +28,6 @@
 )
 from mimosahoist.forward.rate_limit import RateLimiter
 from mimosahoist.forward.receive_buffers import ReceiveBuffers
-from mimosahoist.forward.reported_load import ReportedLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/libs/forward/tests/test_decisions.py
+++ b/libs/forward/tests/test_decisions.py
@@ -9,11 +9,11 @@
 from fakes import EngineFixture, answered, gathering_route, plain_route
 
 from mimosahoist.core.tasks import now
-from mimosahoist.forward.choice import ChoiceContext, choose
+from mimosahoist.forward.balancing.choice import ChoiceContext, choose
+from mimosahoist.forward.balancing.health import UpstreamHealth
 from mimosahoist.forward.completion import Progress, Verdict, decide, required_parts
 from mimosahoist.forward.declarations import Configuration, SharedBounds
 from mimosahoist.forward.domain_reachability import DomainReachability
-from mimosahoist.forward.health import UpstreamHealth
 from mimosahoist.forward.merge import RecordMerger
 from mimosahoist.forward.outcomes import LossKind, Lost, Refused, Unreached
 from mimosahoist.forward.repeat_budget import RepeatBudget
--- a/libs/forward/tests/test_keys.py
+++ b/libs/forward/tests/test_keys.py
@@ -9,7 +9,7 @@
 from fakes import HEADER_NAMES, EngineFixture, plain_route
 from tornado.httputil import HTTPHeaders
 
-from mimosahoist.forward.admission import Refusal
+from mimosahoist.forward.admission.validation import Refusal
 from mimosahoist.forward.declarations import Configuration, Organisation
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.organisations.keys import KEYS_UNCONFIRMED, UNKNOWN_KEY, KeyRing
--- a/libs/forward/tests/test_return_time.py
+++ b/libs/forward/tests/test_return_time.py
@@ -15,10 +15,10 @@
 
 from mimosahoist.core.metrics import Metrics
 from mimosahoist.core.tasks import now
+from mimosahoist.forward.admission.return_time import return_to_another_instance
 from mimosahoist.forward.declarations import Configuration
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.outcomes import NotRun
-from mimosahoist.forward.return_time import return_to_another_instance
 from mimosahoist.forward.routing import RouteTable
 from mimosahoist.forward.state_cache import StateCache
 from mimosahoist.lab.paused_loop import PausedTestCase
