--- a/libs/forward/src/mimosahoist/forward/balancing/health.py
+++ b/libs/forward/src/mimosahoist/forward/balancing/health.py
@@ -24,6 +24,31 @@
 REFUSAL_RATE_HALF_LIFE_SECONDS = 2.0
 
 
+class RefusalRate:
+    """Moving share of calls that were refused; decays with time, so that calls return.
+
+    Parameters
+    ----------
+    smoothing : float
+        Weight of each call.
+    """
+
+    def __init__(self, smoothing: float = FAILURE_SMOOTHING) -> None:
+        self.smoothing = smoothing
+        self.rate = 0.0
+        self.updated_at = 0.0
+
+    def record(self, was_refused: bool, at: float) -> None:
+        """Add one call."""
+        rate = self.value(at)
+        self.rate = rate + self.smoothing * (was_refused - rate)
+        self.updated_at = at
+
+    def value(self, at: float) -> float:
+        """Share of recent calls that were refused."""
+        return self.rate * 0.5 ** ((at - self.updated_at) / REFUSAL_RATE_HALF_LIFE_SECONDS)
+
+
 class UpstreamHealth:
     """Latency, failure rate and ejection state, independent of what the upstream reports itself.
 
@@ -45,8 +70,7 @@
         self.ejected_until = 0.0
         self.consecutive_refusals = 0
         self.refuses_until = 0.0
-        self.refusals = 0.0
-        self.refusals_updated_at = 0.0
+        self.refusals = RefusalRate()
 
     def record_latency_ratio(self, ratio: float, at: float) -> None:
         """Add one response time, as a multiple of the route's typical one."""
@@ -70,7 +94,7 @@
             self.ejected_until = 0.0
             self.consecutive_refusals = 0
             self.refuses_until = 0.0
-            self.update_refusal_rate(0.0, at)
+            self.refusals.record(False, at)
         elif isinstance(outcome, Refused):
             failed = False
             self.record_refusal(at)
@@ -87,18 +111,11 @@
         backoff = REFUSAL_BACKOFF_SECONDS * 2 ** min(self.consecutive_refusals, 8)
         self.consecutive_refusals += 1
         self.refuses_until = at + min(backoff, MAX_REFUSAL_BACKOFF_SECONDS)
-        self.update_refusal_rate(1.0, at)
-
-    def update_refusal_rate(self, refused: float, at: float) -> None:
-        """Add one call to the moving average of refusals."""
-        rate = self.refusal_rate(at)
-        self.refusals = rate + FAILURE_SMOOTHING * (refused - rate)
-        self.refusals_updated_at = at
+        self.refusals.record(True, at)
 
     def refusal_rate(self, at: float) -> float:
-        """Share of recent calls that were refused; decays with time, so that calls return."""
-        age = at - self.refusals_updated_at
-        return self.refusals * 0.5 ** (age / REFUSAL_RATE_HALF_LIFE_SECONDS)
+        """Share of recent calls that were refused."""
+        return self.refusals.value(at)
 
     def eject(self, outcome: CallOutcome, at: float) -> None:
         """Stop calls for a time that doubles with each consecutive failure."""
--- a/libs/forward/src/mimosahoist/forward/delegation.py
+++ b/libs/forward/src/mimosahoist/forward/delegation.py
@@ -116,7 +116,8 @@
     async def call(self, shard: str) -> None:
         """Call one upstream of a shard; a cancelled call also counts as failed."""
         try:
-            upstream = self.engine.choose(self.request.route, shard, set())
+            due = self.request.soft_deadline
+            upstream = self.engine.choose(self.request.route, shard, set(), due)
             if upstream is None:
                 return
             self.attempted_upstreams[shard] = upstream.record.name
--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -46,6 +46,8 @@
 STOPPING = NotRun("this instance is about to stop", 0.05, needs_new_connection=True)
 CALLER_ROUND_TRIP_SECONDS = 0.008
 CALLER_DEADLINE_MARGIN_SECONDS = 0.01
+# A caller that has spent so much of its time before is one that returns.
+RETURNED_SHARE = 0.05
 
 
 class Dispatcher:
@@ -188,6 +190,7 @@
             arrived + route.target_latency - waited - CALLER_ROUND_TRIP_SECONDS,
             self.state_cache.routes.configuration.version,
             route.priority,
+            waited > RETURNED_SHARE * left,
         )
 
     def record_outcome(
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.forward.admission.gate import AdmissionGate
 from mimosahoist.forward.balancing.choice import ChoiceContext, choose
 from mimosahoist.forward.completion import required_parts
 from mimosahoist.forward.crash_tracker import CrashTracker
@@ -39,6 +40,9 @@
 OVERDUE_LATENCY_MULTIPLE = 3.0
 
 
+STATUS_UNAVAILABLE = 503
+
+
 class Availability(enum.Enum):
     """Whether a service without a selectable upstream is likely to have one soon."""
 
@@ -69,6 +73,7 @@
         self.crashes = CrashTracker()
         self.reachability = DomainReachability(failure_domain)
         self.timings: dict[str, RouteTiming] = {}
+        self.gate = AdmissionGate(self)
         self.call_listeners: list[CallListener] = []
 
     async def close(self) -> None:
@@ -84,8 +89,16 @@
             self.timings[route.name] = found
         return found
 
-    def choose(self, route: Route, service: str, tried: set[str]) -> Upstream | None:
-        """Select an upstream for one call of a route; None if no untried one can take it."""
+    def choose(
+        self, route: Route, service: str, tried: set[str], due: float = math.inf
+    ) -> Upstream | None:
+        """Select an upstream for one call of a route; None if no untried one can take it.
+
+        Parameters
+        ----------
+        due : float
+            Loop time until which the call should be answered.
+        """
         context = ChoiceContext(
             now(),
             self.timing(route).median.value,
@@ -93,6 +106,7 @@
             self.fleet.domains_out,
             self.reachability.unreachable_domains,
             self.rng,
+            due - now() if due > now() else math.inf,
         )
         upstreams = self.fleet.eligible_upstreams(service)
         split = self.fleet.splits.get(service)
@@ -105,6 +119,20 @@
                 return chosen
         return None
 
+    def is_behind(self, service: str) -> bool:
+        """Whether all copies of a service report that a round of their slots or more is waiting.
+
+        A hedge is then answered no sooner, and makes all others wait longer.
+        """
+        at = now()
+        usable = self.usable_upstreams(service)
+        return bool(usable) and all(
+            upstream.reports_slowdown
+            and upstream.load.is_recent(at)
+            and upstream.load.waiting >= upstream.load.slots
+            for upstream in usable
+        )
+
     def is_reachable(self, route: Route, excluded: frozenset[str] | None = None) -> bool:
         """Whether enough of a route's services have an upstream in a reachable failure domain.
 
@@ -163,6 +191,7 @@
         found = self.fleet.by_name.get(upstream)
         if found is not None:
             found.health.record_refusal(now())
+            self.gate.record_call(found, Refused(STATUS_UNAVAILABLE))
 
     def record_overdue(self, upstreams: Iterable[Upstream]) -> None:
         """Count calls not answered in the usual time as failures of their failure domains."""
@@ -184,6 +213,7 @@
             for listener in self.call_listeners:
                 listener(upstream, request.route, outcome, now() - started)
         self.metrics.count(f"calls_{type(outcome).__name__.lower()}")
+        self.gate.record_call(upstream, outcome)
         if isinstance(outcome, Answered | Refused):
             self.reachability.record_response(upstream.record.failure_domain, now())
         elif isinstance(outcome, Lost | Unreached):
@@ -221,7 +251,9 @@
         """Record an answer time for the route and for the upstream's relative speed."""
         timing = self.timing(route)
         if timing.median.value > 0:
-            upstream.health.record_latency_ratio(answer.elapsed / timing.median.value, now())
+            # What slows its machine down for the moment is known from its report.
+            usual = answer.elapsed / upstream.slowdown(now())
+            upstream.health.record_latency_ratio(usual / timing.median.value, now())
         timing.record(answer.elapsed)
 
 
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -35,7 +35,7 @@
     Parts,
     RequestOutcome,
 )
-from mimosahoist.forward.relay import ATTEMPTED_HEADER, UPSTREAM_HEADER
+from mimosahoist.forward.relay import ATTEMPTED_HEADER, OVERLOAD_HEADER, UPSTREAM_HEADER
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -279,6 +279,8 @@
                 headers["Connection"] = "close"
             if outcome.was_attempted and self.frontend.dispatcher.serves_instances:
                 headers[ATTEMPTED_HEADER] = "1"
+            if outcome.is_overload and self.frontend.dispatcher.serves_instances:
+                headers[OVERLOAD_HEADER] = "1"
             self.write_response(STATUS_UNAVAILABLE, headers, outcome.reason.encode())
         elif isinstance(outcome, Refusal):
             self.write_response(outcome.status, headers, outcome.reason.encode())
--- a/libs/forward/src/mimosahoist/forward/gather.py
+++ b/libs/forward/src/mimosahoist/forward/gather.py
@@ -78,6 +78,11 @@
             possible_at = self.coverage_possible_at()
             if possible_at > self.wait_cutoff:
                 return self.reject_restricted(possible_at)
+        rejected = self.engine.gate.check(self.request, self.route.shards)
+        if rejected is not None:
+            return rejected
+        for shard in self.shards:
+            shard.reserved = self.engine.gate.reserve(shard.service)
         delay = self.engine.timing(self.route).hedge_delay(self.soft_cutoff - now())
         if self.delegation is not None:
             DelegatedGather(self, self.delegation).start(delay)
@@ -170,7 +175,9 @@
             if at >= shard.next_send:
                 if shard.calls:
                     self.engine.record_overdue(shard.calls.values())
-                    if self.send(shard):
+                    if self.engine.is_behind(shard.service):
+                        self.engine.metrics.count("hedges_withheld")
+                    elif self.send(shard):
                         self.hedged_services.append(shard.service)
                     shard.next_send = self.request.deadline
                 else:
@@ -181,7 +188,9 @@
         """Send one call for a shard if an upstream, the attempt limit and the budget allow it."""
         if shard.runs + len(shard.calls) >= self.route.max_attempts:
             return False
-        upstream = self.engine.choose(self.route, shard.service, shard.tried)
+        upstream = self.engine.choose(
+            self.route, shard.service, shard.tried, self.request.soft_deadline
+        )
         if upstream is None:
             return False
         budget = self.engine.fleet.budget(shard.service)
@@ -190,12 +199,20 @@
         elif not budget.spend(now()):
             self.engine.metrics.count("budget_exhausted")
             return False
+        else:
+            self.release_repeats(shard, 1.0)
         shard.sends += 1
         shard.tried.add(upstream.record.name)
         task = self.engine.tasks.spawn(self.call(shard, upstream), f"call {shard.service}")
         shard.calls[task] = upstream
         return True
 
+    def release_repeats(self, shard: ShardSearch, repeats: float) -> None:
+        """Return repeats that were set aside for a shard, up to a number."""
+        released = min(shard.reserved, repeats)
+        shard.reserved -= released
+        self.engine.gate.release(shard.service, released)
+
     def count_request(self, shard: ShardSearch) -> None:
         """Count the request once in the service's repeat budget, however often sending fails."""
         if not shard.request_counted:
@@ -217,6 +234,7 @@
         if isinstance(outcome, Answered) and outcome.is_success:
             part = Part(outcome.body, [outcome.headers[self.engine.header_names.signature]])
             shard.part = shard.part or part
+            self.release_repeats(shard, shard.reserved)
             return
         self.log_failed_call(shard, upstream, outcome)
         if shard.part is None and not self.is_over:
@@ -242,6 +260,7 @@
         self.ended = True
         loop = asyncio.get_running_loop()
         for shard in self.shards:
+            self.release_repeats(shard, shard.reserved)
             for task, upstream in shard.calls.items():
                 # The other instance applies its own grace period to its calls.
                 delegated = upstream.record.service != shard.service
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -172,6 +172,8 @@
         if kind in (WatchedKind.CONFIGURATION, WatchedKind.DOMAINS_OUT):
             self.gathering.changed.set()
         if kind is WatchedKind.CONFIGURATION:
+            if self.state_cache.routes is not None:
+                self.engine.gate.configure(self.state_cache.routes.configuration)
             self.caller_server.conn_params.header_timeout = self.dispatcher.limits.idle_timeout
 
     async def log_counters(self) -> None:
--- a/libs/forward/src/mimosahoist/forward/outcomes.py
+++ b/libs/forward/src/mimosahoist/forward/outcomes.py
@@ -118,12 +118,15 @@
         services' repeat budgets and must not be started afresh by another instance.
     needs_new_connection : bool
         Whether the caller should retry on a new connection, which may reach another instance.
+    is_overload : bool
+        Whether the upstreams lack room, so that no other instance should try at once.
     """
 
     reason: str
     retry_after: float
     was_attempted: bool = False
     needs_new_connection: bool = False
+    is_overload: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/forward/src/mimosahoist/forward/plain.py
+++ b/libs/forward/src/mimosahoist/forward/plain.py
@@ -67,6 +67,9 @@
 
     async def run(self) -> RequestOutcome:
         """Forward until there is an answer or no further attempt is possible."""
+        rejected = self.engine.gate.check(self.request, (self.service,))
+        if rejected is not None:
+            return rejected
         timing = self.engine.timing(self.route)
         hedge_at = now() + timing.hedge_delay(self.request.soft_deadline - now())
         self.send()
@@ -94,7 +97,9 @@
         """Send one call if attempts, available upstreams and the repeat budget allow it."""
         if self.runs + len(self.calls) >= (self.route.max_attempts if self.route.repeatable else 1):
             return False
-        upstream = self.engine.choose(self.route, self.service, self.tried)
+        upstream = self.engine.choose(
+            self.route, self.service, self.tried, self.request.soft_deadline
+        )
         if upstream is None:
             return False
         budget = self.engine.fleet.budget(self.service)
--- a/libs/forward/src/mimosahoist/forward/relay.py
+++ b/libs/forward/src/mimosahoist/forward/relay.py
@@ -41,6 +41,8 @@
 VERSION_HEADER = "X-Configuration-Version"
 # Present in a refusal if upstreams were called before; see `NotRun.was_attempted`.
 ATTEMPTED_HEADER = "X-Was-Attempted"
+# Present in a refusal if the upstreams lack room; see `NotRun.is_overload`.
+OVERLOAD_HEADER = "X-Overload"
 # Upstream that gave a forwarded answer, so that its announcements can be told apart.
 UPSTREAM_HEADER = "X-Upstream"
 # Statuses that the other instance itself returns before it sends anything to an upstream.
@@ -87,7 +89,8 @@
         """Distinguish gathered and failed responses from refusals."""
         if not isinstance(outcome, Answered) or self.header_names.signature in outcome.headers:
             return outcome
-        if outcome.status in NOT_RUN_STATUSES and ATTEMPTED_HEADER not in outcome.headers:
+        is_final = ATTEMPTED_HEADER in outcome.headers or OVERLOAD_HEADER in outcome.headers
+        if outcome.status in NOT_RUN_STATUSES and not is_final:
             return Refused(outcome.status)
         if outcome.is_success and self.header_names.part_signatures not in outcome.headers:
             return Lost(LossKind.MALFORMED)
@@ -228,8 +231,10 @@
         if not answer.is_success:
             reason = answer.body.decode(errors="replace")
             retry_after = parse_decimal(answer.headers.get("Retry-After", ""))
-            if ATTEMPTED_HEADER in answer.headers and retry_after is not None:
-                return NotRun(reason, retry_after, was_attempted=True)
+            attempted = ATTEMPTED_HEADER in answer.headers
+            overload = OVERLOAD_HEADER in answer.headers
+            if (attempted or overload) and retry_after is not None:
+                return NotRun(reason, retry_after, attempted, is_overload=overload)
             return Failed(reason, answer.status == STATUS_GATEWAY_TIMEOUT)
         header_names = self.engine.header_names
         signatures = [
--- a/libs/forward/src/mimosahoist/forward/request.py
+++ b/libs/forward/src/mimosahoist/forward/request.py
@@ -33,6 +33,8 @@
         Version of the configuration that the route belongs to.
     priority : int
         Rank of the request, 0 being the highest.
+    has_returned : bool
+        Whether the caller seems to have been turned away before.
     usage : RequestUsage or None
         Count for the organisation; None if there is none, or another instance counts it.
     """
@@ -49,6 +51,7 @@
     soft_deadline: float
     version: int = 0
     priority: int = 0
+    has_returned: bool = False
     usage: RequestUsage | None = None
 
     def record_call(self) -> None:
--- a/libs/forward/src/mimosahoist/forward/route_timing.py
+++ b/libs/forward/src/mimosahoist/forward/route_timing.py
@@ -12,6 +12,8 @@
 INITIAL_MEDIAN_SHARE = 0.15
 INITIAL_HEDGE_SHARE = 0.35
 TIME_BUDGET_SAMPLES = 64
+# The lowest median is forgotten slowly, so that it outlasts a time of long queues.
+UNLOADED_GROWTH = 1.0005
 
 
 class RouteTiming:
@@ -19,6 +21,11 @@
 
     Callers that retry have less time left than on their first attempt, so the largest of the
     recent time budgets is taken as the total time of a caller.
+
+    Attributes
+    ----------
+    unloaded_seconds : float
+        Median latency in times without queues: the lowest of the recent medians.
     """
 
     def __init__(self, target_latency: float) -> None:
@@ -26,12 +33,15 @@
         self.hedge_percentile = SlidingQuantile(
             HEDGE_PERCENTILE, target_latency * INITIAL_HEDGE_SHARE
         )
+        self.unloaded_seconds = self.median.value
         self.time_budgets: deque[float] = deque(maxlen=TIME_BUDGET_SAMPLES)
 
     def record(self, seconds: float) -> None:
         """Record the latency of one call."""
         self.median.record(seconds)
         self.hedge_percentile.record(seconds)
+        grown = self.unloaded_seconds * UNLOADED_GROWTH
+        self.unloaded_seconds = min(grown, self.median.value)
 
     def already_waited(self, time_left: float) -> float:
         """Estimated seconds that a caller has spent on earlier attempts."""
--- a/libs/forward/src/mimosahoist/forward/shard_search.py
+++ b/libs/forward/src/mimosahoist/forward/shard_search.py
@@ -30,6 +30,8 @@
         Ended calls that may have run, also those that ended without an outcome.
     request_counted : bool
         Whether the request is counted in the service's repeat budget.
+    reserved : float
+        Repeats that are set aside for it and not spent yet.
     next_send : float
         Loop time in seconds of the next hedge or retry.
     """
@@ -42,4 +44,5 @@
         self.runs = 0
         self.sends = 0
         self.request_counted = False
+        self.reserved = 0.0
         self.next_send = 0.0
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -40,7 +40,6 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 CONNECTION_LIMIT_FRACTION = 0.9
 STATUS_MISDIRECTED = 421
-LOAD_REPORT_TTL_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
 MAX_COLD_MILLISECONDS = 3600 * MILLISECONDS_PER_SECOND
 MAX_LOGGED_REASON_CHARACTERS = 120
@@ -87,6 +86,7 @@
         self.header_names = header_names
         self.health = UpstreamHealth()
         self.load: ReportedLoad | None = None
+        self.unreadable_loads = 0
         self.active_connections: dict[int, UpstreamConnection] = {}
         self.in_flight: dict[int, float] = {}
         self.last_call_number = 0
@@ -189,11 +189,20 @@
         """Running and waiting requests per slot, from own calls and any recent load report."""
         requests = len(self.in_flight)
         slots = max(1, self.record.slots)
-        if self.load is not None and at - self.load.at < LOAD_REPORT_TTL_SECONDS:
+        if self.load is not None and self.load.is_recent(at):
             slots = self.load.slots
             requests = max(requests, self.load.running + self.load.waiting)
         return requests / slots
 
+    def slowdown(self, at: float) -> float:
+        """How long work is expected to take on its machine, as a multiple of the usual."""
+        return 1.0 if self.load is None else self.load.slowdown_at(at)
+
+    @property
+    def reports_slowdown(self) -> bool:
+        """Whether it says how long work takes on its machine."""
+        return self.load is not None and self.load.slowdown is not None
+
     async def call(self, request: CallerRequest, until: float) -> CallOutcome:
         """Send a request and wait for its outcome.
 
@@ -337,11 +346,25 @@
         at = now()
         load = headers.get(self.header_names.load)
         if load is not None:
-            self.load = ReportedLoad.parse(load, at) or self.load
+            self.record_load(load, at)
         cold = parse_integer(headers.get(self.header_names.cold_left, ""), MAX_COLD_MILLISECONDS)
         if cold:
             self.cold_until = max(self.cold_until, at + cold / MILLISECONDS_PER_SECOND)
 
+    def record_load(self, value: str, at: float) -> None:
+        """Keep a reported load; log the first one of this upstream that cannot be read."""
+        load = ReportedLoad.parse(value, at)
+        if load is not None:
+            self.load = load
+            return
+        self.unreadable_loads += 1
+        if self.unreadable_loads == 1:
+            json_log.info(
+                "load report unreadable",
+                upstream=self.record.name,
+                value=value[:MAX_LOGGED_REASON_CHARACTERS],
+            )
+
     def handle_head(
         self, status: int, headers: HTTPHeaders, request: CallerRequest, sent: float
     ) -> None:
