--- a/libs/forward/src/mimosahoist/forward/admission/outlook.py
+++ b/libs/forward/src/mimosahoist/forward/admission/outlook.py
@@ -61,7 +61,7 @@
         Time that a call of the route usually takes at an upstream with a free slot.
     """
     health = upstream.health
-    slowdown = upstream.slowdown(at)
+    slowdown = upstream.loads.slowdown(at)
     start = max(at, upstream.callable_at(at), health.refuses_until, health.ejected_until)
     queue_seconds = 0.0
     load = upstream.load
--- a/libs/forward/src/mimosahoist/forward/balancing/choice.py
+++ b/libs/forward/src/mimosahoist/forward/balancing/choice.py
@@ -68,8 +68,8 @@
     health = upstream.health
     excess_occupancy = max(0.0, upstream.occupancy(context.at) - OCCUPANCY_THRESHOLD)
     total = health.latency_ratio(context.at) * (1.0 + excess_occupancy)
-    if upstream.reports_slowdown:
-        total *= upstream.slowdown(context.at)
+    if upstream.loads.tell_slowdown:
+        total *= upstream.loads.slowdown(context.at)
         if total * context.typical_latency > context.time_left:
             total += LATE_PENALTY
     total += FAILURE_PENALTY * health.failure_rate
@@ -109,7 +109,7 @@
     Without copies in the own domain two are drawn. Where upstreams don't report how slow they are
     at the moment, or few are left to choose from, all are compared.
     """
-    if len(usable) < 3 or not any(upstream.reports_slowdown for upstream in usable):
+    if len(usable) < 3 or not any(upstream.loads.tell_slowdown for upstream in usable):
         return usable
     own = [item for item in usable if item.record.failure_domain == context.failure_domain]
     remote = [item for item in usable if item.record.failure_domain != context.failure_domain]
--- a/libs/forward/src/mimosahoist/forward/balancing/health.py
+++ b/libs/forward/src/mimosahoist/forward/balancing/health.py
@@ -98,7 +98,7 @@
         elif isinstance(outcome, Refused):
             failed = False
             self.record_refusal(at)
-        elif isinstance(outcome, Lost) and outcome.kind is LossKind.ABANDONED:
+        elif outcome == Lost(LossKind.ABANDONED) or getattr(outcome, "is_local", False):
             return
         else:
             failed = True
--- a/libs/forward/src/mimosahoist/forward/balancing/reported_load.py
+++ b/libs/forward/src/mimosahoist/forward/balancing/reported_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from mimosahoist.core import json_log
 from mimosahoist.core.decimal_text import parse_decimal, parse_integer
 
 MAX_REPORTED_REQUESTS = 1_000_000
@@ -11,6 +12,7 @@
 USUAL_PERCENT = 100.0
 MIN_SLOWDOWN = 0.2
 MAX_SLOWDOWN = 20.0
+MAX_LOGGED_VALUE_CHARACTERS = 120
 
 
 class ReportedLoad:
@@ -67,3 +69,43 @@
             return 1.0
         age = max(0.0, at - self.at)
         return 1.0 + (self.slowdown - 1.0) * 0.5 ** (age / SLOWDOWN_HALF_LIFE_SECONDS)
+
+
+class LoadReports:
+    """Loads that one upstream reports.
+
+    Attributes
+    ----------
+    latest : ReportedLoad or None
+        None until one could be read.
+    unreadable : int
+        Number of reports that could not be read; the first one is logged.
+    """
+
+    def __init__(self, upstream: str) -> None:
+        self.upstream = upstream
+        self.latest: ReportedLoad | None = None
+        self.unreadable = 0
+
+    def record(self, value: str, at: float) -> None:
+        """Keep a reported load, if it can be read."""
+        load = ReportedLoad.parse(value, at)
+        if load is not None:
+            self.latest = load
+            return
+        self.unreadable += 1
+        if self.unreadable == 1:
+            json_log.info(
+                "load report unreadable",
+                upstream=self.upstream,
+                value=value[:MAX_LOGGED_VALUE_CHARACTERS],
+            )
+
+    def slowdown(self, at: float) -> float:
+        """How long work is expected to take on its machine, as a multiple of the usual."""
+        return 1.0 if self.latest is None else self.latest.slowdown_at(at)
+
+    @property
+    def tell_slowdown(self) -> bool:
+        """Whether the upstream says how long work takes on its machine."""
+        return self.latest is not None and self.latest.slowdown is not None
--- a/libs/forward/src/mimosahoist/forward/connection.py
+++ b/libs/forward/src/mimosahoist/forward/connection.py
@@ -101,6 +101,11 @@
         """Mark the response as complete."""
         self.complete = True
 
+    def take_body(self) -> bytes:
+        """Return the body, and keep nothing of it: cyclic references outlast the exchange."""
+        chunks, self.chunks = self.chunks, []
+        return b"".join(chunks)
+
     @property
     def has_explicit_length(self) -> bool:
         """Whether the length is given by a header, not by the end of the connection."""
@@ -234,9 +239,8 @@
         self.update_keep_alive(collector)
         response = collector.start_line
         elapsed = now() - started
-        return Answered(
-            response.code, response.reason, collector.headers, b"".join(collector.chunks), elapsed
-        )
+        body = collector.take_body()
+        return Answered(response.code, response.reason, collector.headers, body, elapsed)
 
     def update_keep_alive(self, collector: ResponseCollector) -> None:
         """Determine from a response whether and how long the connection may be reused."""
--- a/libs/forward/src/mimosahoist/forward/connection_pool.py
+++ b/libs/forward/src/mimosahoist/forward/connection_pool.py
@@ -6,12 +6,13 @@
 
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.connection import UpstreamConnection
+from mimosahoist.forward.receive_buffers import IdleConnections
 
 if TYPE_CHECKING:
     from mimosahoist.forward.receive_buffers import ReceiveBuffers
 
 
-class ConnectionPool:
+class ConnectionPool(IdleConnections):
     """Opens connections to one address and keeps those that can be reused.
 
     Attributes
@@ -30,15 +31,20 @@
         self.idle: list[UpstreamConnection] = []
         self.open_count = 0
         self.opened_count = 0
+        self.sockets = receive_buffers.sockets
+        self.sockets.pools.add(self)
 
     async def open(self) -> UpstreamConnection:
         """Open a new connection."""
+        self.sockets.make_room()
         self.open_count += 1
         self.opened_count += 1
+        self.sockets.open_count += 1
         try:
             return await UpstreamConnection.open(self.address, self.prune, self.receive_buffers)
         except BaseException:
             self.open_count -= 1
+            self.sockets.open_count -= 1
             raise
 
     def take_idle(self) -> UpstreamConnection | None:
@@ -58,6 +64,16 @@
         """Close a connection that is not idle."""
         connection.close()
         self.open_count -= 1
+        self.sockets.open_count -= 1
+
+    @property
+    def can_take(self) -> bool:
+        """Whether a connection is idle, or may be opened."""
+        return bool(self.idle) or not self.sockets.is_reached
+
+    def drop_idle(self) -> None:
+        """Close the idle connection that has waited longest."""
+        self.close_connection(self.idle.pop(0))
 
     def prune(self) -> None:
         """Close the idle connections that are no longer usable."""
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -127,7 +127,7 @@
         at = now()
         usable = self.usable_upstreams(service)
         return bool(usable) and all(
-            upstream.reports_slowdown
+            upstream.loads.tell_slowdown
             and upstream.load.is_recent(at)
             and upstream.load.waiting >= upstream.load.slots
             for upstream in usable
@@ -166,7 +166,9 @@
         usable = self.usable_upstreams(service)
         listed = [upstream for upstream in usable if upstream.callable_at(at) <= by]
         untried = [item for item in listed if item.record.name not in tried]
-        if any(item.health.ejected_until <= at and item.responsive for item in untried):
+        if any(
+            item.health.ejected_until <= at and not item.health.on_probation for item in untried
+        ):
             return Availability.SOON
         return Availability.UNCERTAIN if listed else Availability.NONE
 
@@ -252,7 +254,7 @@
         timing = self.timing(route)
         if timing.median.value > 0:
             # What slows its machine down for the moment is known from its report.
-            usual = answer.elapsed / upstream.slowdown(now())
+            usual = answer.elapsed / upstream.loads.slowdown(now())
             upstream.health.record_latency_ratio(usual / timing.median.value, now())
         timing.record(answer.elapsed)
 
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -1,62 +1,31 @@
-"""HTTP server for callers: reads requests, enforces their limits and writes responses."""
+"""HTTP frontend for callers: their connections, what they hold, and the requests on them."""
 
 from __future__ import annotations
 
 import asyncio
-from http.client import responses
 from typing import TYPE_CHECKING
 from weakref import WeakKeyDictionary, WeakSet
 
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    ResponseStartLine,
-)
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.httputil import HTTPMessageDelegate, HTTPServerConnectionDelegate
 
 from mimosahoist.core import json_log
-from mimosahoist.core.decimal_text import parse_integer
 from mimosahoist.core.tasks import TaskSet, now
-from mimosahoist.forward.admission.validation import Refusal
-from mimosahoist.forward.delegation import (
-    FAILED_SHARDS_HEADER,
-    PENDING_SHARDS_HEADER,
-    REFUSED_SHARDS_HEADER,
-    encode_shards,
-)
-from mimosahoist.forward.headers import end_to_end_headers
-from mimosahoist.forward.outcomes import (
-    Abandoned,
-    Failed,
-    Forwarded,
-    Gathered,
-    NotRun,
-    Parts,
-    RequestOutcome,
+from mimosahoist.forward.callers.intake import Holding, Intake, Phase, limits_of_machine
+from mimosahoist.forward.callers.message import (
+    STATUS_REQUEST_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    CallerMessageDelegate,
+    written_bytes,
 )
-from mimosahoist.forward.relay import ATTEMPTED_HEADER, OVERLOAD_HEADER, UPSTREAM_HEADER
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
-    from tornado.httputil import RequestStartLine
+    from tornado.iostream import IOStream
 
     from mimosahoist.forward.dispatcher import Dispatcher
 
-STATUS_REQUEST_TIMEOUT = 408
 TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-STATUS_TOO_LARGE = 413
-STATUS_HEADERS_TOO_LARGE = 431
-STATUS_UNAVAILABLE = 503
-STATUS_BAD_GATEWAY = 502
-STATUS_GATEWAY_TIMEOUT = 504
-STATUS_OK = 200
 END_TIMEOUT_SECONDS = 0.2
-# The request was passed on and may have run.
-ENDED_BY_STOP = Failed("this instance stops before the answer has come", timed_out=True)
-ENDED_BY_ERROR = Failed("an internal error ended the request, which may have run")
-MAX_LOGGED_ERROR_CHARACTERS = 200
-NO_BODY_STATUSES = frozenset((204, 304))
 
 
 class CallerFrontend(HTTPServerConnectionDelegate):
@@ -70,25 +39,91 @@
         Whether open requests are ended because the instance stops, not because their callers left.
     open_requests : int
         Number of requests that were read and not yet answered.
+    intake : Intake
+        Bounds on what callers hold together.
+    holdings : WeakKeyDictionary
+        What is held for each connection.
     """
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
+    def __init__(self, dispatcher: Dispatcher, intake: Intake | None = None) -> None:
         self.dispatcher = dispatcher
+        self.intake = intake or Intake(limits_of_machine(0, 0))
+        self.holdings: WeakKeyDictionary[IOStream, Holding] = WeakKeyDictionary()
+        self.written: WeakKeyDictionary[IOStream, int] = WeakKeyDictionary()
         self.draining = False
         self.ending = False
         self.open_requests = 0
+        self.logged_gave_way = 0
+        self.readers: WeakKeyDictionary[IOStream, CallerMessageDelegate] = WeakKeyDictionary()
         self.tasks = TaskSet()
         self.connections: WeakSet[HTTP1ServerConnection] = WeakSet()
         self.active_connections: WeakSet[HTTP1ServerConnection] = WeakSet()
         self.headers_started: WeakKeyDictionary[HTTP1ServerConnection, float] = WeakKeyDictionary()
 
+    def open_connection(self, stream: IOStream) -> bool:
+        """Take a new connection; return False if there is no room for it."""
+        holding = self.intake.open(now(), lambda: self.give_way(stream))
+        if holding is None:
+            self.dispatcher.metrics.count("connections_refused")
+            return False
+        self.holdings[stream] = holding
+        return True
+
+    def close_connection(self, stream: IOStream) -> None:
+        """Release what a connection holds, which was closed."""
+        holding = self.holdings.pop(stream, None)
+        if holding is not None:
+            holding.close()
+
+    def holding(self, stream: IOStream) -> Holding:
+        """What is held for a connection."""
+        held = self.holdings.get(stream)
+        if held is None:
+            # The connection gave way, or came in through a server that bounds none.
+            held = Holding(Intake(self.intake.limits), now(), lambda: None)
+            self.holdings[stream] = held
+        return held
+
+    def give_way(self, stream: IOStream) -> None:
+        """End a connection that makes no progress, so that others have room."""
+        self.dispatcher.metrics.count("connections_gave_way")
+        reader = self.readers.get(stream)
+        if reader is not None and not reader.refused and reader.task is None:
+            reader.refuse(STATUS_UNAVAILABLE)
+        stream.close()
+
+    def close_stuck_writers(self, at: float) -> None:
+        """Close connections whose callers read nothing of their answers for the idle time-out."""
+        for stream, holding in list(self.holdings.items()):
+            if holding.phase is Phase.WRITING:
+                total = written_bytes(stream)
+                if total != self.written.get(stream):
+                    self.written[stream] = total
+                    holding.progressed_at = at
+        for holding in self.intake.stuck_writers(at - self.dispatcher.limits.idle_timeout):
+            self.intake.end(holding)
+
+    def log_intake(self) -> None:
+        """Log that connections had to give way since the last time."""
+        gave_way = self.intake.gave_way
+        if gave_way != self.logged_gave_way:
+            json_log.info(
+                "connections gave way",
+                count=gave_way - self.logged_gave_way,
+                connections=len(self.intake.holdings),
+                held_bytes=self.intake.held_bytes,
+            )
+            self.logged_gave_way = gave_way
+
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Create the delegate that reads one request."""
         self.connections.add(server_conn)
         self.active_connections.discard(server_conn)
-        return CallerMessageDelegate(self, server_conn, request_conn)
+        delegate = CallerMessageDelegate(self, server_conn, request_conn)
+        self.readers[server_conn.stream] = delegate
+        return delegate
 
     @property
     def open_connections(self) -> int:
@@ -139,173 +174,6 @@
             await asyncio.wait(open_tasks, timeout=END_TIMEOUT_SECONDS)
 
 
-class CallerMessageDelegate(HTTPMessageDelegate):
-    """Reads one request of a caller and writes its response."""
-
-    def __init__(
-        self,
-        frontend: CallerFrontend,
-        server_connection: HTTP1ServerConnection,
-        request_connection: HTTP1Connection,
-    ) -> None:
-        self.frontend = frontend
-        self.server_connection = server_connection
-        self.request_connection = request_connection
-        self.start_line: RequestStartLine | None = None
-        self.headers = HTTPHeaders()
-        self.chunks: list[bytes] = []
-        self.size = 0
-        self.refused = False
-        self.body_timer: asyncio.TimerHandle | None = None
-        self.task: asyncio.Task[None] | None = None
-
-    def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
-        """Check the declared sizes before any of the body is read."""
-        self.frontend.active_connections.add(self.server_connection)
-        self.start_line = start_line
-        self.headers = headers
-        limits = self.frontend.dispatcher.limits
-        size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
-        # Tornado rejects a length that is no number.
-        length = parse_integer(headers.get("Content-Length", "0")) or 0
-        if size + len(start_line.path) > limits.header_bytes:
-            self.refuse(STATUS_HEADERS_TOO_LARGE)
-        elif length > limits.body_bytes:
-            self.refuse(STATUS_TOO_LARGE)
-        else:
-            seconds = limits.header_timeout
-            loop = asyncio.get_running_loop()
-            self.body_timer = loop.call_later(seconds, self.refuse, STATUS_REQUEST_TIMEOUT)
-
-    def data_received(self, chunk: bytes) -> None:
-        """Collect a chunk of the body, up to the size limit."""
-        if self.refused:
-            return
-        self.size += len(chunk)
-        self.chunks.append(chunk)
-        if self.size > self.frontend.dispatcher.limits.body_bytes:
-            self.refuse(STATUS_TOO_LARGE)
-
-    def refuse(self, status: int) -> None:
-        """Respond with an error status at once, without forwarding the request."""
-        self.stop_body_timer()
-        self.refused = True
-        self.chunks = []
-        self.frontend.dispatcher.metrics.count(f"answers_{status}")
-        self.write_response(status, HTTPHeaders(), b"")
-
-    def stop_body_timer(self) -> None:
-        """Stop the timer for the body, which is complete or no longer needed."""
-        if self.body_timer is not None:
-            self.body_timer.cancel()
-
-    def finish(self) -> None:
-        """Start serving the complete request."""
-        self.stop_body_timer()
-        if self.refused:
-            return
-        self.frontend.open_requests += 1
-        self.task = self.frontend.tasks.spawn(self.serve(), "request")
-        self.request_connection.set_close_callback(self.handle_disconnect)
-
-    def on_connection_close(self) -> None:
-        """Discard a request whose connection was closed before it was complete."""
-        self.stop_body_timer()
-        self.chunks = []
-
-    def handle_disconnect(self) -> None:
-        """Cancel the work for a caller that closed the connection before the response."""
-        if self.task is not None:
-            self.task.cancel()
-
-    async def serve(self) -> None:
-        """Dispatch the request and write the response."""
-        arrived = now()
-        dispatcher = self.frontend.dispatcher
-        outcome: RequestOutcome | Refusal = Abandoned()
-        try:
-            outcome = await dispatcher.dispatch(
-                self.start_line.method, self.start_line.path, self.headers, b"".join(self.chunks)
-            )
-        except asyncio.CancelledError:
-            if self.frontend.ending:
-                outcome = ENDED_BY_STOP
-            else:
-                dispatcher.metrics.count("callers_left")
-        except Exception as error:
-            outcome = ENDED_BY_ERROR
-            self.log_error(error)
-        finally:
-            self.frontend.open_requests -= 1
-            dispatcher.record_outcome(self.headers, outcome, now() - arrived)
-        try:
-            self.write_outcome(outcome)
-        except Exception as error:
-            self.log_error(error)
-            self.write_outcome(ENDED_BY_ERROR)
-
-    def log_error(self, error: Exception) -> None:
-        """Log an error for which no outcome of a request is provided."""
-        json_log.info(
-            "request raised",
-            request=self.headers.get(self.frontend.dispatcher.header_names.request_id, ""),
-            error=repr(error)[:MAX_LOGGED_ERROR_CHARACTERS],
-        )
-
-    def write_outcome(self, outcome: RequestOutcome | Refusal) -> None:
-        """Write the response for an outcome."""
-        header_names = self.frontend.dispatcher.header_names
-        headers = HTTPHeaders()
-        if isinstance(outcome, Forwarded):
-            answer = outcome.answer
-            kept = end_to_end_headers(answer.headers, frozenset())
-            if outcome.upstream and self.frontend.dispatcher.serves_instances:
-                kept[UPSTREAM_HEADER] = outcome.upstream
-            self.write_response(answer.status, kept, answer.body, answer.reason)
-        elif isinstance(outcome, Gathered):
-            headers["Content-Type"] = "application/octet-stream"
-            headers[header_names.part_signatures] = ", ".join(outcome.signatures)
-            headers[header_names.missing_parts] = str(outcome.missing)
-            self.write_response(STATUS_OK, headers, outcome.body)
-        elif isinstance(outcome, Parts):
-            headers[header_names.part_signatures] = ", ".join(outcome.signatures)
-            headers[PENDING_SHARDS_HEADER] = encode_shards(outcome.pending)
-            headers[FAILED_SHARDS_HEADER] = encode_shards(outcome.failed)
-            headers[REFUSED_SHARDS_HEADER] = encode_shards(outcome.refused)
-            self.write_response(STATUS_OK, headers, outcome.body)
-        elif isinstance(outcome, NotRun):
-            headers["Retry-After"] = f"{outcome.retry_after:.3f}"
-            if outcome.needs_new_connection:
-                headers["Connection"] = "close"
-            if outcome.was_attempted and self.frontend.dispatcher.serves_instances:
-                headers[ATTEMPTED_HEADER] = "1"
-            if outcome.is_overload and self.frontend.dispatcher.serves_instances:
-                headers[OVERLOAD_HEADER] = "1"
-            self.write_response(STATUS_UNAVAILABLE, headers, outcome.reason.encode())
-        elif isinstance(outcome, Refusal):
-            self.write_response(outcome.status, headers, outcome.reason.encode())
-        elif isinstance(outcome, Failed):
-            status = STATUS_GATEWAY_TIMEOUT if outcome.timed_out else STATUS_BAD_GATEWAY
-            self.write_response(status, headers, outcome.reason.encode())
-
-    def write_response(
-        self, status: int, headers: HTTPHeaders, body: bytes, reason: str = ""
-    ) -> None:
-        """Write a complete response."""
-        if self.frontend.draining:
-            headers["Connection"] = "close"
-        if status not in NO_BODY_STATUSES:
-            headers["Content-Length"] = str(len(body))
-        line = ResponseStartLine("HTTP/1.1", status, reason or responses.get(status, "Unknown"))
-        try:
-            if self.start_line.method == "HEAD":
-                body = b""
-            self.request_connection.write_headers(line, headers, body)
-            self.request_connection.finish()
-        except StreamClosedError:
-            json_log.info("response not written", reason="caller closed the connection")
-
-
 def buffered_bytes(stream: IOStream) -> int:
     """Number of received bytes not read yet, for which tornado has no public attribute."""
     return stream._read_buffer_size
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -9,6 +9,8 @@
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.forward.callers.intake import Intake, limits_of_machine
+from mimosahoist.forward.callers.servers import CallerServer, StatusServer
 from mimosahoist.forward.delegation import Delegation
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
@@ -121,7 +123,10 @@
                 settings.usage, usage_platform, self.peers, self.has_organisations, metrics
             )
             self.dispatcher.usage_meter = self.usage.meter
-        self.frontend = CallerFrontend(self.dispatcher)
+        limits = limits_of_machine(settings.memory_bytes, settings.max_descriptors)
+        self.fleet.receive_buffers.max_total_bytes = limits.receiving_bytes
+        self.fleet.receive_buffers.sockets.maximum = limits.upstream_connections
+        self.frontend = CallerFrontend(self.dispatcher, Intake(limits))
         self.relay_dispatcher = RelayDispatcher(
             self.state_cache, self.engine, header_names, metrics, delegation
         )
@@ -141,7 +146,7 @@
         await self.confirmer.start()
         if self.usage is not None:
             await self.usage.start()
-        self.caller_server = HTTPServer(
+        self.caller_server = CallerServer(
             self.frontend, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
         )
         listen_on(self.caller_server, self.settings.callers_address)
@@ -154,7 +159,7 @@
             listen_on(relay_server, self.settings.relay_address)
             self.servers.append(relay_server)
         for address in (self.settings.readiness_address, self.settings.metrics_address):
-            server = HTTPServer(status_service)
+            server = StatusServer(status_service)
             listen_on(server, address)
             self.servers.append(server)
         self.tasks.spawn(self.monitor_reachability(), "monitor reachability")
@@ -214,6 +219,8 @@
             await asyncio.sleep(REACHABILITY_INTERVAL_SECONDS)
             at = now()
             self.frontend.refuse_slow_headers(at)
+            self.frontend.close_stuck_writers(at)
+            self.frontend.log_intake()
             for domain in self.peers.domains_heard_since(at - REACHABILITY_INTERVAL_SECONDS):
                 self.engine.reachability.record_peer_contact(domain, at)
             self.engine.reachability.evaluate(at)
--- a/libs/forward/src/mimosahoist/forward/instance_settings.py
+++ b/libs/forward/src/mimosahoist/forward/instance_settings.py
@@ -23,6 +23,9 @@
         before peers are known.
     usage : UsageSettings or None
         How the organisations' requests are reported; None if they are not.
+    memory_bytes, max_descriptors : int
+        Size of the machine, by which the memory and the connections of callers are bounded; 0 if
+        it is not known.
     """
 
     name: str
@@ -37,3 +40,5 @@
     capacity: float = 1.0
     expected_instances: int = 8
     usage: UsageSettings | None = None
+    memory_bytes: int = 0
+    max_descriptors: int = 0
--- a/libs/forward/src/mimosahoist/forward/outcomes.py
+++ b/libs/forward/src/mimosahoist/forward/outcomes.py
@@ -47,9 +47,17 @@
 
 @dataclass(frozen=True)
 class Unreached:
-    """The upstream was not reached, and nothing was sent."""
+    """The upstream was not reached, and nothing was sent.
+
+    Attributes
+    ----------
+    is_local : bool
+        Whether this instance has no room for another connection, which says nothing of the
+        upstream.
+    """
 
     reason: str
+    is_local: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/forward/src/mimosahoist/forward/receive_buffers.py
+++ b/libs/forward/src/mimosahoist/forward/receive_buffers.py
@@ -1,4 +1,4 @@
-"""Limits on the memory for responses that are being received; does no I/O.
+"""Limits on the memory and the connections for responses of upstreams; does no I/O.
 
 A faulty upstream may send bytes without end. Each response is limited, and so is the sum over all
 responses: if it is exceeded the largest one is dropped, since that is the least likely to end.
@@ -6,13 +6,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Any
+from weakref import WeakSet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 MAX_RESPONSE_BYTES = 8 << 20
 MAX_TOTAL_BYTES = 32 << 20
+MAX_CONNECTIONS = 1 << 16
 
 
 class ReceiveBuffer:
@@ -36,6 +39,55 @@
         self.buffers.open_buffers.discard(self)
 
 
+class SocketLimitReached(OSError):
+    """No further connection may be opened; the instance needs more descriptors."""
+
+
+class IdleConnections(ABC):
+    """Connections to one upstream that wait for their next call."""
+
+    idle: list[Any]
+
+    @abstractmethod
+    def drop_idle(self) -> None:
+        """Close the connection that has waited longest."""
+
+
+class SocketLimit:
+    """Number of connections to all upstreams together.
+
+    Attributes
+    ----------
+    maximum : int
+        Number of connections that the instance's descriptors allow.
+    """
+
+    def __init__(self, maximum: int = MAX_CONNECTIONS) -> None:
+        self.maximum = maximum
+        self.open_count = 0
+        self.pools: WeakSet[IdleConnections] = WeakSet()
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether no further connection may be opened, not even in place of an idle one."""
+        return self.open_count >= self.maximum and not any(pool.idle for pool in self.pools)
+
+    def make_room(self) -> None:
+        """Close an idle connection if the limit is reached.
+
+        Raises
+        ------
+        SocketLimitReached
+            If there is none.
+        """
+        if self.open_count < self.maximum:
+            return
+        pool = next((pool for pool in self.pools if pool.idle), None)
+        if pool is None:
+            raise SocketLimitReached(f"{self.maximum} connections to upstreams are open")
+        pool.drop_idle()
+
+
 class ReceiveBuffers:
     """Sizes of all responses that an instance is receiving.
 
@@ -43,6 +95,8 @@
     ----------
     total : int
         Number of bytes of all open buffers.
+    sockets : SocketLimit
+        Limit on the connections over which the responses come.
     """
 
     def __init__(
@@ -51,6 +105,7 @@
         self.max_response_bytes = max_response_bytes
         self.max_total_bytes = max_total_bytes
         self.total = 0
+        self.sockets = SocketLimit()
         self.open_buffers: set[ReceiveBuffer] = set()
 
     def open(self, drop: Callable[[], None]) -> ReceiveBuffer:
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -15,7 +15,7 @@
 from mimosahoist.forward.announcement_headers import parse_announcements
 from mimosahoist.forward.announcements import AnnouncedWait, UpstreamAnnouncements
 from mimosahoist.forward.balancing.health import UpstreamHealth
-from mimosahoist.forward.balancing.reported_load import ReportedLoad
+from mimosahoist.forward.balancing.reported_load import LoadReports
 from mimosahoist.forward.cold_rate import ColdRateLimiter, total_cold_rate
 from mimosahoist.forward.connection_pool import ConnectionPool
 from mimosahoist.forward.outcomes import (
@@ -27,11 +27,12 @@
     Unreached,
 )
 from mimosahoist.forward.rate_limit import RateLimiter
-from mimosahoist.forward.receive_buffers import ReceiveBuffers
+from mimosahoist.forward.receive_buffers import ReceiveBuffers, SocketLimitReached
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mimosahoist.forward.balancing.reported_load import ReportedLoad
     from mimosahoist.forward.connection import UpstreamConnection
     from mimosahoist.forward.declarations import ServiceLimits, SharedBounds, UpstreamRecord
     from mimosahoist.forward.headers import HeaderNames
@@ -85,8 +86,7 @@
         self.bounds = bounds
         self.header_names = header_names
         self.health = UpstreamHealth()
-        self.load: ReportedLoad | None = None
-        self.unreadable_loads = 0
+        self.loads = LoadReports(record.name)
         self.active_connections: dict[int, UpstreamConnection] = {}
         self.in_flight: dict[int, float] = {}
         self.last_call_number = 0
@@ -153,15 +153,10 @@
             return False
         if self.health.on_probation and self.in_flight:
             return False
-        if len(self.in_flight) >= self.connection_limit:
+        if len(self.in_flight) >= self.connection_limit or not self.pool.can_take:
             return False
         return not self.cold(at) or self.within_cold_rate(at)
 
-    @property
-    def responsive(self) -> bool:
-        """Whether the upstream is not on probation after recent failures."""
-        return not self.health.on_probation
-
     def state(self, at: float) -> str:
         """Reason why no calls are sent, for logs; ``open`` if calls are allowed."""
         if self.removed or self.leaving:
@@ -194,14 +189,10 @@
             requests = max(requests, self.load.running + self.load.waiting)
         return requests / slots
 
-    def slowdown(self, at: float) -> float:
-        """How long work is expected to take on its machine, as a multiple of the usual."""
-        return 1.0 if self.load is None else self.load.slowdown_at(at)
-
     @property
-    def reports_slowdown(self) -> bool:
-        """Whether it says how long work takes on its machine."""
-        return self.load is not None and self.load.slowdown is not None
+    def load(self) -> ReportedLoad | None:
+        """Most recent load that the upstream has reported."""
+        return self.loads.latest
 
     async def call(self, request: CallerRequest, until: float) -> CallOutcome:
         """Send a request and wait for its outcome.
@@ -244,7 +235,7 @@
                     connection = await self.pool.open()
             except Exception as error:
                 # Nothing has been written yet, whatever the error is.
-                return Unreached(type(error).__name__)
+                return Unreached(type(error).__name__, isinstance(error, SocketLimitReached))
         self.active_connections[number] = connection
         try:
             outcome = await self.exchange(connection, request, until)
@@ -346,25 +337,11 @@
         at = now()
         load = headers.get(self.header_names.load)
         if load is not None:
-            self.record_load(load, at)
+            self.loads.record(load, at)
         cold = parse_integer(headers.get(self.header_names.cold_left, ""), MAX_COLD_MILLISECONDS)
         if cold:
             self.cold_until = max(self.cold_until, at + cold / MILLISECONDS_PER_SECOND)
 
-    def record_load(self, value: str, at: float) -> None:
-        """Keep a reported load; log the first one of this upstream that cannot be read."""
-        load = ReportedLoad.parse(value, at)
-        if load is not None:
-            self.load = load
-            return
-        self.unreadable_loads += 1
-        if self.unreadable_loads == 1:
-            json_log.info(
-                "load report unreadable",
-                upstream=self.record.name,
-                value=value[:MAX_LOGGED_REASON_CHARACTERS],
-            )
-
     def handle_head(
         self, status: int, headers: HTTPHeaders, request: CallerRequest, sent: float
     ) -> None:
--- a/libs/forward/tests/test_admission.py
+++ b/libs/forward/tests/test_admission.py
@@ -179,7 +179,7 @@
         fixture = EngineFixture()
         upstreams: list[FakeUpstream] = [fixture.add("desk", domain) for domain in ("a", "b")]
         for upstream in upstreams:
-            upstream.record_load("4,4000,4,100", now())
+            upstream.loads.record("4,4000,4,100", now())
         fixture.engine.gate.short_until["desk"] = now() + 1.0
         outcome = await PlainForward(fixture.engine, fixture.request(plain_route())).run()
         self.assertIsInstance(outcome, NotRun)
--- a/libs/forward/tests/test_balancing.py
+++ b/libs/forward/tests/test_balancing.py
@@ -55,7 +55,7 @@
         return self.fixture
 
     def report(self, domain: str, value: str) -> None:
-        self.upstreams[domain].record_load(value, now())
+        self.upstreams[domain].loads.record(value, now())
 
     def chosen(self, due: float = 0.5, times: int = 60) -> Counter[str]:
         found: Counter[str] = Counter()
@@ -70,7 +70,7 @@
         self.report("a", "2,1,4,100")
         self.report("a", "x")
         self.assertEqual(self.upstreams["a"].load.running, 2)
-        self.assertEqual(self.upstreams["a"].unreadable_loads, 1)
+        self.assertEqual(self.upstreams["a"].loads.unreadable, 1)
 
     async def test_calls_stay_in_their_domain_while_it_serves_them_in_time(self) -> None:
         self.start("a", "b", "c")
@@ -126,7 +126,7 @@
         for number in range(6):
             for domain in ("a", "b", "c"):
                 upstream = fixture.add(f"s{number}", domain)
-                upstream.record_load(load, now())
+                upstream.loads.record(load, now())
                 if not number:
                     upstream.script = lambda call: (
                         0.12 + 0.01 * rng.random(),
--- /dev/null
+++ b/libs/forward/tests/test_intake.py
@@ -0,0 +1,123 @@
+"""Tests of who gives way when callers hold too much, without connections."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from mimosahoist.forward.callers.intake import (
+    Holding,
+    Intake,
+    IntakeLimits,
+    Phase,
+    limits_of_machine,
+)
+
+LIMITS = IntakeLimits(10, 10, 1000, 1000)
+
+
+class IntakeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.intake = Intake(LIMITS)
+        self.ended: list[str] = []
+
+    def open(self, name: str, at: float = 0.0) -> Holding | None:
+        return self.intake.open(at, lambda: self.ended.append(name))
+
+    def reading(self, name: str, size: int, at: float) -> Holding:
+        holding = self.open(name, at)
+        holding.enter(Phase.READING, at)
+        holding.add(size, at)
+        return holding
+
+    def test_whoever_made_no_progress_for_longest_gives_way_to_a_new_connection(self) -> None:
+        for number in range(10):
+            self.open(f"c{number}", 10.0 - number)
+        self.assertIsNotNone(self.open("new", 11.0))
+        self.assertEqual(self.ended, ["c9"])
+        self.assertEqual(len(self.intake.holdings), LIMITS.caller_connections)
+
+    def test_idle_connections_give_way_after_unfinished_ones(self) -> None:
+        for number in range(10):
+            self.open(f"c{number}", float(number)).enter(Phase.IDLE, float(number))
+        next(iter(self.intake.holdings)).enter(Phase.NEW, 50.0)
+        self.open("first", 60.0).enter(Phase.IDLE, 60.0)
+        self.assertEqual(len(self.ended), 1)
+        self.open("second", 61.0)
+        self.assertEqual(len(self.ended), 2)
+
+    def test_requests_that_are_served_never_give_way(self) -> None:
+        for number in range(10):
+            self.open(f"c{number}").enter(Phase.SERVING, 0.0)
+        self.assertIsNone(self.open("new", 9.0))
+        self.assertEqual(self.ended, [])
+
+    def test_stuck_body_gives_way_to_one_that_is_sent(self) -> None:
+        self.reading("stuck", 600, 1.0)
+        self.reading("other", 300, 2.0)
+        sent = self.reading("sent", 0, 3.0)
+        self.assertTrue(sent.add(200, 4.0))
+        self.assertEqual(self.ended, ["stuck"])
+        self.assertEqual(self.intake.held_bytes, 500)
+
+    def test_answer_that_nobody_reads_gives_way(self) -> None:
+        unread = self.open("unread", 0.0)
+        unread.enter(Phase.WRITING, 1.0)
+        unread.add(900, 1.0)
+        self.reading("sent", 500, 2.0)
+        self.assertEqual(self.ended, ["unread"])
+
+    def test_newcomer_is_refused_if_all_room_is_taken_by_requests_being_served(self) -> None:
+        served = self.open("served", 0.0)
+        served.enter(Phase.SERVING, 0.0)
+        served.add(900, 0.0)
+        newcomer = self.open("newcomer", 1.0)
+        newcomer.enter(Phase.READING, 1.0)
+        self.assertFalse(newcomer.add(200, 1.0))
+        self.assertEqual(self.ended, [])
+
+    def test_single_request_is_taken_whatever_its_size(self) -> None:
+        single = self.open("single", 0.0)
+        single.enter(Phase.READING, 0.0)
+        self.assertTrue(single.add(5000, 0.0))
+
+    def test_stuck_writers_are_found(self) -> None:
+        for name, at in (("slow", 1.0), ("quick", 9.0)):
+            self.open(name, at).enter(Phase.WRITING, at)
+        self.assertEqual([item.progressed_at for item in self.intake.stuck_writers(5.0)], [1.0])
+
+    def test_bytes_stay_within_the_limit_and_are_counted_right_in_any_order(self) -> None:
+        rng = random.Random(7)
+        holdings: list[Holding] = []
+        for step in range(3000):
+            at = float(step)
+            event = rng.random()
+            holdings = [item for item in holdings if item in self.intake.holdings]
+            if event < 0.2 or not holdings:
+                opened = self.open(str(step), at)
+                holdings += [opened] if opened is not None else []
+            elif event < 0.6:
+                holding = rng.choice(holdings)
+                if holding.phase is not Phase.SERVING:
+                    holding.enter(rng.choice((Phase.READING, Phase.WRITING)), at)
+                    if not holding.add(rng.randrange(400), at):
+                        holding.release()
+            elif event < 0.8:
+                holding = rng.choice(holdings)
+                holding.release()
+                holding.enter(rng.choice((Phase.IDLE, Phase.SERVING)), at)
+            else:
+                rng.choice(holdings).close()
+            sizes = [item.size for item in self.intake.holdings]
+            self.assertEqual(self.intake.held_bytes, sum(sizes))
+            self.assertLessEqual(len(sizes), LIMITS.caller_connections)
+            self.assertLessEqual(self.intake.held_bytes, max(LIMITS.held_bytes, *sizes, 0))
+
+    def test_limits_leave_room_for_the_process_on_any_machine(self) -> None:
+        for memory_mb, descriptors in ((100, 460), (200, 4100), (300, 4100), (552, 10250)):
+            limits = limits_of_machine(memory_mb << 20, descriptors)
+            sockets = limits.caller_connections + limits.upstream_connections
+            self.assertLess(sockets, descriptors - 200)
+            held = limits.held_bytes + limits.receiving_bytes
+            self.assertLess(held + (48 << 20), memory_mb << 20)
+        self.assertEqual(limits_of_machine(0, 0), limits_of_machine(256 << 20, 1024))
