--- a/libs/forward/src/mimosahoist/forward/connection.py
+++ b/libs/forward/src/mimosahoist/forward/connection.py
@@ -33,6 +33,8 @@
 READ_BUFFER_BYTES = 256 * 1024
 # An upstream may announce its answer with a few 1xx responses.
 MAX_INTERIM_RESPONSES = 8
+# An upstream in trouble may send other numbers; callers must not get them.
+STATUSES = range(100, 600)
 TCP_USER_TIMEOUT_MILLISECONDS = 2000
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -77,6 +79,9 @@
 
     def headers_received(self, start_line: ResponseStartLine, headers: HTTPHeaders) -> None:
         """Store the start line and headers; only the last of several responses counts."""
+        if start_line.code not in STATUSES:
+            self.drop()
+            return
         if start_line.code < 200:
             self.interim_responses += 1
             if self.interim_responses > MAX_INTERIM_RESPONSES:
--- a/libs/upstream/src/mimosahoist/upstream/curl_transport.py
+++ b/libs/upstream/src/mimosahoist/upstream/curl_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import select
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,7 @@
 TIMEOUT_GRANULARITY_MS = 10
 HEADERS = ["Content-Type: application/json", "Expect:", "Accept:", "User-Agent:"]
 STATUS_LINE_START = b"HTTP/"
+STATUS_LINE = re.compile(rb"HTTP/[0-9.]+ +[1-5][0-9]{2}(?![0-9])")
 HEAD_ENDS = (b"\r\n", b"\n")
 CONNECT_ERRORS = {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
 
@@ -241,7 +243,7 @@
         """Resolve the future with the reply, or with a failure if its head ended early."""
         if self.future.done():
             return
-        if not is_complete_head(self.head_lines):
+        if not is_complete_head(self.head_lines) or not has_valid_status(self.head_lines):
             self.future.set_exception(ExchangeFailure(FailureKind.BROKEN, True))
             return
         status = self.easy.getinfo(pycurl.RESPONSE_CODE)
@@ -280,3 +282,12 @@
         if line.startswith(STATUS_LINE_START):
             return False
     return False
+
+
+def has_valid_status(lines: list[bytes]) -> bool:
+    """Whether the last response's status is a number that HTTP knows.
+
+    libcurl passes on any number, and the first three digits of a longer one.
+    """
+    starts = [line for line in lines if line.startswith(STATUS_LINE_START)]
+    return bool(starts) and STATUS_LINE.match(starts[-1]) is not None
