--- a/libs/forward/src/mimosahoist/forward/admission/gate.py
+++ b/libs/forward/src/mimosahoist/forward/admission/gate.py
@@ -15,10 +15,15 @@
 from mimosahoist.forward.outcomes import Answered, NotRun, Refused
 
 if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.declarations import Configuration, Route
-    from mimosahoist.forward.engine import ForwardEngine
+    from mimosahoist.forward.fleet import UpstreamFleet
     from mimosahoist.forward.outcomes import CallOutcome
     from mimosahoist.forward.request import CallerRequest
+    from mimosahoist.forward.route_timing import RouteTiming
     from mimosahoist.forward.upstream import Upstream
 
 # Time after a call that was turned away, lost or met a queue in which its service is looked at.
@@ -47,6 +52,8 @@
 
     Attributes
     ----------
+    timing, usable_upstreams : callable
+        Give the latencies of a route, and the upstreams of a service that are within reach.
     competitions : dict
         Routes with which each route shares services, by its name.
     refusals : dict
@@ -58,8 +65,19 @@
         are not, and a search has very many.
     """
 
-    def __init__(self, engine: ForwardEngine) -> None:
-        self.engine = engine
+    def __init__(
+        self,
+        fleet: UpstreamFleet,
+        timing: Callable[[Route], RouteTiming],
+        usable_upstreams: Callable[[str], list[Upstream]],
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.fleet = fleet
+        self.timing = timing
+        self.usable_upstreams = usable_upstreams
+        self.metrics = metrics
+        self.rng = rng
         self.competitions: dict[str, Competition] = {}
         self.refusals: dict[str, RefusalRate] = {}
         self.reserved: dict[str, float] = {}
@@ -113,23 +131,22 @@
         """Whether a service is short of room, or has no upstream at all."""
         if self.short_until.get(service, 0.0) >= at:
             return True
-        return not self.engine.fleet.services.get(service)
+        return not self.fleet.services.get(service)
 
     def outlooks(self, route: Route, services: tuple[str, ...]) -> list[ServiceOutlook]:
         """Outlooks for services of a route."""
         at = now()
-        usual_seconds = self.engine.timing(route).unloaded_seconds
+        usual_seconds = self.timing(route).unloaded_seconds
         usual = ServiceOutlook(0.0, at + usual_seconds, 0.0, math.inf)
         return [
             (
                 usual
                 if not self.is_short(service, at)
                 else service_outlook(
-                    self.engine.usable_upstreams(service),
+                    self.usable_upstreams(service),
                     usual_seconds,
                     self.refusal_rate(service),
-                    self.engine.fleet.budget(service).remaining(at)
-                    - self.reserved.get(service, 0.0),
+                    self.fleet.budget(service).remaining(at) - self.reserved.get(service, 0.0),
                     at,
                 )
             )
@@ -153,7 +170,7 @@
             request.deadline,
             competition.urgent_seconds,
         )
-        rejection = decide(candidate, at, self.engine.rng)
+        rejection = decide(candidate, at, self.rng)
         if rejection is None:
             return None
         return self.reject(request, services, candidate, rejection)
@@ -168,8 +185,8 @@
         """Log a rejection and return it; the request still counts for the services' budgets."""
         at = now()
         for service in services:
-            self.engine.fleet.budget(service).record_first_send(at)
-        self.engine.metrics.count(f"requests_rejected_{rejection.reason.name.lower()}")
+            self.fleet.budget(service).record_first_send(at)
+        self.metrics.count(f"requests_rejected_{rejection.reason.name.lower()}")
         wait = rejection.possible_at - at
         json_log.info(
             "request not begun",
@@ -182,7 +199,7 @@
         )
         return NotRun(
             str(rejection.reason),
-            return_after_wait(rejection.possible_at, at, self.engine.rng),
+            return_after_wait(rejection.possible_at, at, self.rng),
             is_overload=True,
         )
 
--- a/libs/forward/src/mimosahoist/forward/callers/message.py
+++ b/libs/forward/src/mimosahoist/forward/callers/message.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC, abstractmethod
 from http.client import responses
 from typing import TYPE_CHECKING
 
@@ -33,11 +34,15 @@
 from mimosahoist.forward.relay import ATTEMPTED_HEADER, OVERLOAD_HEADER, UPSTREAM_HEADER
 
 if TYPE_CHECKING:
+    from weakref import WeakKeyDictionary, WeakSet
+
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
     from tornado.httputil import RequestStartLine
     from tornado.iostream import IOStream
 
-    from mimosahoist.forward.front import CallerFrontend
+    from mimosahoist.core.tasks import TaskSet
+    from mimosahoist.forward.callers.intake import Holding, Intake
+    from mimosahoist.forward.dispatcher import Dispatcher
 
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
@@ -55,12 +60,43 @@
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
+class MessageOwner(ABC):
+    """What a request on a connection needs of the frontend that reads it.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether responses tell callers to close their connections.
+    ending : bool
+        Whether open requests are ended because the instance stops, not because their callers left.
+    open_requests : int
+        Number of requests that were read and not yet answered.
+    intake : Intake
+        Bounds on what callers hold together.
+    written : WeakKeyDictionary
+        Bytes that callers have taken, by connection, as of the last look.
+    """
+
+    dispatcher: Dispatcher
+    draining: bool
+    ending: bool
+    open_requests: int
+    intake: Intake
+    tasks: TaskSet
+    active_connections: WeakSet[HTTP1ServerConnection]
+    written: WeakKeyDictionary[IOStream, int]
+
+    @abstractmethod
+    def holding(self, stream: IOStream) -> Holding:
+        """Return what is held for a connection."""
+
+
 class CallerMessageDelegate(HTTPMessageDelegate):
     """Reads one request of a caller and writes its response."""
 
     def __init__(
         self,
-        frontend: CallerFrontend,
+        frontend: MessageOwner,
         server_connection: HTTP1ServerConnection,
         request_connection: HTTP1Connection,
     ) -> None:
--- a/libs/forward/src/mimosahoist/forward/engine.py
+++ b/libs/forward/src/mimosahoist/forward/engine.py
@@ -73,7 +73,7 @@
         self.crashes = CrashTracker()
         self.reachability = DomainReachability(failure_domain)
         self.timings: dict[str, RouteTiming] = {}
-        self.gate = AdmissionGate(self)
+        self.gate = AdmissionGate(fleet, self.timing, self.usable_upstreams, metrics, rng)
         self.call_listeners: list[CallListener] = []
 
     async def close(self) -> None:
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -15,6 +15,7 @@
     STATUS_REQUEST_TIMEOUT,
     STATUS_UNAVAILABLE,
     CallerMessageDelegate,
+    MessageOwner,
     written_bytes,
 )
 
@@ -28,19 +29,11 @@
 END_TIMEOUT_SECONDS = 0.2
 
 
-class CallerFrontend(HTTPServerConnectionDelegate):
+class CallerFrontend(MessageOwner, HTTPServerConnectionDelegate):
     """Reads callers' requests and writes the responses.
 
     Attributes
     ----------
-    draining : bool
-        Whether responses tell callers to close their connections.
-    ending : bool
-        Whether open requests are ended because the instance stops, not because their callers left.
-    open_requests : int
-        Number of requests that were read and not yet answered.
-    intake : Intake
-        Bounds on what callers hold together.
     holdings : WeakKeyDictionary
         What is held for each connection.
     """
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -18,14 +18,7 @@
 from mimosahoist.forward.balancing.reported_load import LoadReports
 from mimosahoist.forward.cold_rate import ColdRateLimiter, total_cold_rate
 from mimosahoist.forward.connection_pool import ConnectionPool
-from mimosahoist.forward.outcomes import (
-    Answered,
-    CallOutcome,
-    LossKind,
-    Lost,
-    Refused,
-    Unreached,
-)
+from mimosahoist.forward.outcomes import Answered, CallOutcome, LossKind, Lost, Refused, Unreached
 from mimosahoist.forward.rate_limit import RateLimiter
 from mimosahoist.forward.receive_buffers import ReceiveBuffers, SocketLimitReached
 
@@ -145,11 +138,11 @@
 
     def has_capacity(self, at: float) -> bool:
         """Whether another call may be sent now."""
-        if self.removed or self.leaving or at < self.health.ejected_until:
+        if self.removed or self.leaving:
             return False
-        if self.callable_at(at) > at or not self.wait.allows(at, len(self.in_flight)):
+        if at < max(self.health.ejected_until, self.health.refuses_until):
             return False
-        if at < self.health.refuses_until:
+        if self.callable_at(at) > at or not self.wait.allows(at, len(self.in_flight)):
             return False
         if self.health.on_probation and self.in_flight:
             return False
@@ -191,7 +184,7 @@
 
     @property
     def load(self) -> ReportedLoad | None:
-        """Most recent load that the upstream has reported."""
+        """Latest load that the upstream has reported."""
         return self.loads.latest
 
     async def call(self, request: CallerRequest, until: float) -> CallOutcome:
