--- a/libs/forward/src/mimosahoist/forward/admission/gate.py
+++ b/libs/forward/src/mimosahoist/forward/admission/gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
 from mimosahoist.core import json_log
@@ -123,9 +124,7 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Find out which routes compete for the same services."""
-        self.competitions = {
-            route.name: find_competition(route, configuration) for route in configuration.routes
-        }
+        self.competitions = find_competitions(configuration)
 
     def is_short(self, service: str, at: float) -> bool:
         """Whether a service is short of room, or has no upstream at all."""
@@ -204,17 +203,33 @@
         )
 
 
-def find_competition(route: Route, configuration: Configuration) -> Competition:
-    """Find the routes that share a service with a route, itself among them."""
-    services = services_of(route)
-    sharing = [other for other in configuration.routes if services & services_of(other)]
-    if not sharing:
-        return Competition((route.priority,), route.target_latency)
-    most_urgent = min(sharing, key=lambda other: (other.priority, other.target_latency))
-    priorities = tuple(sorted({other.priority for other in sharing}))
-    return Competition(priorities, most_urgent.target_latency)
+def find_competitions(configuration: Configuration) -> dict[str, Competition]:
+    """Find for each route the routes that share a service with it, itself among them.
 
-
-def services_of(route: Route) -> set[str]:
+    A configuration may have thousands of routes, but they name few sets of services.
+    """
+    ranks: defaultdict[str, set[tuple[int, float]]] = defaultdict(set)
+    for route in configuration.routes:
+        for service in services_of(route):
+            ranks[service].add((route.priority, route.target_latency))
+    by_services: dict[frozenset[str], Competition] = {}
+    found = {}
+    for route in configuration.routes:
+        services = services_of(route)
+        if services not in by_services:
+            sharing = set().union(*(ranks[service] for service in services))
+            by_services[services] = make_competition(sharing, route)
+        found[route.name] = by_services[services]
+    return found
+
+
+def make_competition(sharing: set[tuple[int, float]], route: Route) -> Competition:
+    """Competition among the priorities and target latencies of routes that share services."""
+    sharing = sharing or {(route.priority, route.target_latency)}
+    priorities = tuple(sorted({priority for priority, _ in sharing}))
+    return Competition(priorities, min(sharing)[1])
+
+
+def services_of(route: Route) -> frozenset[str]:
     """Services that a route's requests need."""
-    return set(route.shards) | {target.service for target in route.targets}
+    return frozenset(route.shards) | {target.service for target in route.targets}
--- a/libs/forward/src/mimosahoist/forward/callers/message.py
+++ b/libs/forward/src/mimosahoist/forward/callers/message.py
@@ -176,6 +176,11 @@
         self.task = self.frontend.tasks.spawn(self.serve(), "request")
         self.request_connection.set_close_callback(self.handle_disconnect)
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether the head was read, and the body is on its way."""
+        return self.start_line is not None and not self.refused and self.task is None
+
     def serving_bytes(self) -> int:
         """Bytes that copies of the header fields take while the request is served."""
         routes = self.frontend.dispatcher.state_cache.routes
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -81,7 +81,7 @@
         """End a connection that makes no progress, so that others have room."""
         self.dispatcher.metrics.count("connections_gave_way")
         reader = self.readers.get(stream)
-        if reader is not None and not reader.refused and reader.task is None:
+        if reader is not None and reader.is_incomplete:
             reader.refuse(STATUS_UNAVAILABLE)
         stream.close()
 
--- a/libs/forward/tests/test_admission.py
+++ b/libs/forward/tests/test_admission.py
@@ -6,6 +6,7 @@
 import math
 import random
 import unittest
+from dataclasses import replace
 
 from fakes import EngineFixture, FakeUpstream, answered, gathering_route, plain_route
 from tornado.httputil import HTTPHeaders
@@ -19,7 +20,7 @@
     needed_repeats,
     rejected_share,
 )
-from mimosahoist.forward.admission.gate import find_competition
+from mimosahoist.forward.admission.gate import find_competitions
 from mimosahoist.forward.admission.outlook import UNAVAILABLE, ServiceOutlook
 from mimosahoist.forward.declarations import Configuration
 from mimosahoist.forward.gather import ScatterGather
@@ -99,12 +100,18 @@
         self.assertEqual(rejected_share(candidate(outlooks, rank=1)), 0.0)
 
     def test_ranks_are_those_of_the_routes_that_share_services(self) -> None:
-        urgent = gathering_route(priority=0)
-        search = gathering_route(priority=4)
+        urgent = replace(gathering_route(4, priority=0), name="urgent", target_latency=0.05)
+        search = gathering_route(10, priority=4)
         other = plain_route(priority=1)
-        configuration = Configuration(1, (search, urgent, other))
-        self.assertEqual(find_competition(search, configuration).priorities, (0, 4))
-        self.assertEqual(find_competition(other, configuration).priorities, (1,))
+        found = find_competitions(Configuration(1, (search, urgent, other)))
+        self.assertEqual(found["search"], ((0, 4), 0.05))
+        self.assertEqual(found["urgent"], ((0, 4), 0.05))
+        self.assertEqual(found["lookup"].priorities, (1,))
+
+    def test_configuration_of_thousands_of_routes_names_few_sets_of_services(self) -> None:
+        routes = [replace(gathering_route(36), name=f"r{number}") for number in range(3000)]
+        found = find_competitions(Configuration(1, tuple(routes)))
+        self.assertEqual(len({id(competition) for competition in found.values()}), 1)
 
 
 class LoadTest(PausedTestCase):
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -13,6 +13,8 @@
 from tornado.testing import bind_unused_port
 
 from mimosahoist.core.metrics import Metrics
+from mimosahoist.forward.callers.intake import Intake, IntakeLimits
+from mimosahoist.forward.callers.servers import CallerServer
 from mimosahoist.forward.declarations import CallerLimits, Configuration, RouteKind, SharedBounds
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.front import CallerFrontend
@@ -217,3 +219,55 @@
         self.frontend.draining = True
         _, head = await self.request()
         self.assertIn("Connection: close", head)
+
+
+class CrowdedFrontendTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fixture = EngineFixture(SharedBounds(repeat_slack=1000.0))
+        self.upstream: FakeUpstream = self.fixture.add("desk", "a")
+        cache = StateCache(self.fixture.fleet)
+        limits = CallerLimits(header_bytes=2000, body_bytes=1000, header_timeout=30.0)
+        cache.routes = RouteTable(Configuration(1, (plain_route(),), {}, limits))
+        self.dispatcher = Dispatcher(cache, self.fixture.engine, HEADER_NAMES, Metrics())
+        intake = Intake(IntakeLimits(3, 10, 6000, 1000))
+        self.frontend = CallerFrontend(self.dispatcher, intake)
+        self.server = CallerServer(self.frontend, max_header_size=1 << 20)
+        sock, self.port = bind_unused_port()
+        self.server.add_sockets([sock])
+
+    async def asyncTearDown(self) -> None:
+        self.server.stop()
+        await self.frontend.tasks.close()
+        await self.fixture.engine.close()
+        await self.server.close_all_connections()
+
+    async def connect(self, data: bytes) -> asyncio.StreamReader:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        writer.write(data)
+        await asyncio.sleep(0.02)
+        return reader
+
+    async def test_connections_without_a_head_give_way_to_a_request(self) -> None:
+        stuck = [await self.connect(data) for data in (b"", b"GET /x", b"", b"GET")]
+        head = GET.format(path="/x/1", more="").encode()
+        reader = await self.connect(head)
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+        self.assertEqual([await item.read() for item in stuck[:2]], [b"", b""])
+        self.assertEqual(len(self.frontend.intake.holdings), 3)
+        self.assertEqual(self.dispatcher.metrics.counters["connections_gave_way"], 2)
+
+    async def test_body_that_stops_is_refused_as_not_run_for_one_that_is_sent(self) -> None:
+        body = GET.format(path="/x/1", more="Content-Length: 990\r\n").encode()
+        more = 5 * "".join(f"{number:x}:\r\n" for number in range(3))
+        stuck = await self.connect(
+            body.replace(b"\r\n\r\n", f"\r\n{more}\r\n".encode()) + b"x" * 980
+        )
+        reader = await self.connect(
+            body.replace(b"\r\n\r\n", f"\r\n{more}\r\n".encode()) + b"x" * 990
+        )
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+        refusal = await stuck.read()
+        self.assertIn(b" 503 ", refusal)
+        self.assertIn(b"Retry-After", refusal)
+        self.assertEqual(len(self.upstream.arrivals), 1)
