--- a/libs/forward/src/mimosahoist/forward/organisations/confirmation.py
+++ b/libs/forward/src/mimosahoist/forward/organisations/confirmation.py
@@ -22,6 +22,8 @@
 
 CONFIRMATION_TOPIC = "configuration"
 CONFIRMERS = 4
+# Each confirmer beyond the first adds readings of the store, so small fleets ask one.
+INSTANCES_PER_CONFIRMER = 100
 RENEWALS_PER_LEASE = 5.0
 ASK_TIMEOUT_SECONDS = 0.4
 # A confirmer answers with the reading that it has if the store takes longer.
@@ -38,8 +40,8 @@
 
     Attributes
     ----------
-    preferred : int
-        Index of the confirmer that gave the last useful answer.
+    preferred : int or None
+        Index of the confirmer that gave the last useful answer; None before the first question.
     """
 
     def __init__(
@@ -58,7 +60,7 @@
         self.metrics = metrics
         self.rng = rng
         self.tasks = TaskSet()
-        self.preferred = 0
+        self.preferred: int | None = None
         self.reading: asyncio.Task[None] | None = None
         self.last_read_at = float("-inf")
         self.held = True
@@ -113,7 +115,8 @@
 
     async def renew(self) -> None:
         """Renew the lease once, by a reading of the store or by what a confirmer answers."""
-        confirmers = self.peers.ranked_names()[:CONFIRMERS]
+        ranked = self.peers.ranked_names()
+        confirmers = ranked[:CONFIRMERS]
         if self.peers.name in confirmers:
             await self.read_if_older(self.renewal_seconds)
             if self.lease.age(boot_time()) < self.renewal_seconds:
@@ -122,6 +125,8 @@
         if not others:
             await self.read_if_older(self.renewal_seconds)
             return
+        if self.preferred is None:
+            self.preferred = self.rng.randrange(1 + len(ranked) // INSTANCES_PER_CONFIRMER)
         first = others[self.preferred % len(others)]
         if await self.ask(first) or await self.ask_all(others):
             return
--- a/libs/lab/src/mimosahoist/lab/capacity_page.py
+++ b/libs/lab/src/mimosahoist/lab/capacity_page.py
@@ -298,4 +298,10 @@
    and region, with as many shares as instances that serve it.
 5. Sockets to all peers, evidence facts of all instances: see above.
 6. Two regions: one cluster a region is assumed; configuration that reaches both is not built.
+7. Counts of usage (worked out from sizes of messages, not measured): an instance sends its counts to four others at most
+   twice a second, some 15 bytes an organisation. At 810 daemons and 78 organisations that is 9 KB/s sent by each, and 1.9 MB/s
+   received by each collector, beyond its 17 KB/s. Next: differences in place of whole windows, and a collector a failure domain.
+8. Confirmations of the configuration (worked out likewise): one question and answer of some 130 bytes each in 0.7 s, 0.4 KB/s
+   a daemon. Four confirmers share 1,160 questions a second at 810 daemons, and read the store five times a second together.
+9. Admission and intake keep state for the instance alone, and exchange nothing.
 """
