--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -149,11 +149,13 @@
         zones: tuple[str, ...] = ("north", "south", "east"),
         work_ms: float = 15.0,
         desk_ms: float = 15.0,
+        searcher_zones: tuple[str, ...] = (),
     ) -> None:
         self.case = case
         self.lines: list[str] = []
         self.shards = [f"shard-{number}" for number in range(shards)]
         self.zones, self.count = zones, instances
+        self.searcher_zones = searcher_zones or zones[:3]
         self.work_ms, self.desk_ms = work_ms, desk_ms
         self.store = StoreModel()
         self.server = create_store_server(self.store)
@@ -182,7 +184,7 @@
     async def start(self, store: str) -> None:
         plan = []
         for service in [*self.shards, "desk"]:
-            for zone in self.zones[:3]:
+            for zone in self.searcher_zones:
                 name = f"i-{service}-{zone}"
                 address = allocate_address()
                 work = self.desk_ms if service == "desk" else self.work_ms
--- a/review/stand_in_2.py
+++ b/review/stand_in_2.py
@@ -33,6 +33,18 @@
     return f"{service}.{digest[:16]}"
 
 
+class Link:
+    """Whether the links between instances and searchers are cut: SIGUSR1 cuts them, SIGUSR2 heals them."""
+
+    is_cut = False
+
+    def set(self, is_cut: bool) -> None:
+        self.is_cut = is_cut
+
+
+link = Link()
+
+
 class Searcher:
     """One searcher: its slots, its queue, and what it has seen."""
 
@@ -112,10 +124,14 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
+        self.cut = False
 
     def data_received(self, data: bytes) -> None:
-        self.data += data
-        self.read()
+        # Bytes of a connection that lost some in a cut are never delivered.
+        self.cut = self.cut or link.is_cut
+        if not self.cut:
+            self.data += data
+            self.read()
 
     def connection_lost(self, error: Exception | None) -> None:
         if self.exchange is not None:
@@ -167,7 +183,8 @@
 
     def send(self, data: bytes) -> None:
         self.exchange = None
-        if not self.transport.is_closing():
+        self.cut = self.cut or link.is_cut
+        if not self.transport.is_closing() and not self.cut:
             self.transport.write(data)
         if self.data:
             self.read()
@@ -179,6 +196,8 @@
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, link.set, True)
+    loop.add_signal_handler(signal.SIGUSR2, link.set, False)
     for item in plan:
         searcher = Searcher(item, seen)
         host, _, port = item["address"].rpartition(":")
