--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -170,6 +170,23 @@
         self.lines.append(line)
         print(line, flush=True)
 
+    def list_requests(self, name: str, log: list[tuple[float, int]]) -> None:
+        """Write each request of ordinary callers into the record: when it was sent, and its status."""
+        for at, status in sorted(log):
+            answered = f"answered {status}" if status else "not answered"
+            self.lines.append(f"{at - self.started:7.2f} {name}: sent, {answered}")
+
+    def list_runs(self, arrived: list[dict]) -> None:
+        """Write what arrived and ran at searchers into the record, for each second and kind of caller."""
+        counts: dict[tuple[int, str], list[int]] = {}
+        for item in arrived:
+            key = (int(item["at"] - self.started), item["id"][:1])
+            count = counts.setdefault(key, [0, 0])
+            count[0] += 1
+            count[1] += "ran_at" in item
+        for (second, kind), (came, ran) in sorted(counts.items()):
+            self.lines.append(f"{second:7.2f} ids {kind}...: {came} arrived within a second, {ran} ran")
+
     async def __aenter__(self) -> Stage:
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name)
