--- a/review/stand_in_2.py
+++ b/review/stand_in_2.py
@@ -3,8 +3,9 @@
 Usage: stand_in_2.py PLAN RECORD. PLAN is a JSON list of searchers; RECORD gets one JSON line for each
 request that arrived, when the process gets SIGTERM. They behave as PROTOCOL.md says of a sound searcher:
 slots and a short queue, `Target-Instance`, `Attempt-Id` echoed, `Response-Stamp`, `Server-Load`, a request
-dropped when its connection closes, 504 at the end of `Time-Remaining`. Times are of the monotonic clock,
-which all processes of a machine share.
+dropped when its connection closes, 504 at the end of `Time-Remaining` or 503 with `Not-Executed` if that
+passes in the queue, connections beyond `max_connections` reset. Times are of the monotonic clock, which
+all processes of a machine share.
 """
 
 from __future__ import annotations
@@ -13,6 +14,8 @@
 import hashlib
 import json
 import signal
+import socket
+import struct
 import sys
 import time
 from collections import deque
@@ -53,6 +56,8 @@
         self.slots, self.queue_limit = plan.get("slots", 4), plan.get("queue", 18)
         self.work_seconds = plan["work_ms"] / 1000
         self.seen = seen
+        self.max_connections = plan.get("max_connections", 36)
+        self.connections = 0
         self.running = 0
         self.waiting: deque[Exchange] = deque()
 
@@ -68,14 +73,21 @@
     def begin(self, exchange: Exchange) -> None:
         self.running += 1
         exchange.seen["ran_at"] = time.monotonic()
-        exchange.timer = asyncio.get_running_loop().call_later(self.work_seconds, exchange.complete)
+        left = exchange.due - time.monotonic()
+        end = exchange.complete if self.work_seconds <= left else exchange.expire
+        delay = max(0.0, min(self.work_seconds, left))
+        exchange.timer = asyncio.get_running_loop().call_later(delay, end)
 
     def end(self) -> None:
         """Free a slot and begin the next request that is waiting and still wanted."""
         self.running -= 1
         while self.waiting and self.running < self.slots:
             following = self.waiting.popleft()
-            if not following.dropped:
+            if following.dropped:
+                continue
+            if time.monotonic() >= following.due:
+                following.reply(503, {"Not-Executed": "1"}, b"")
+            else:
                 self.begin(following)
 
 
@@ -87,6 +99,18 @@
         self.searcher = connection.searcher
         self.timer: asyncio.TimerHandle | None = None
         self.dropped = False
+        try:
+            left_ms = int(head.get("time-remaining", "60000"))
+        except ValueError:
+            left_ms = 60000
+        self.due = time.monotonic() + left_ms / 1000
+
+    def expire(self) -> None:
+        """Stop work at the end of the time that the request gave: this counts as run."""
+        self.timer = None
+        searcher = self.searcher
+        self.reply(504, {"Response-Stamp": stamp(searcher.service, self.head["attempt-id"], b"")}, b"")
+        searcher.end()
 
     def complete(self) -> None:
         self.timer = None
@@ -125,6 +149,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
         self.cut = False
+        self.searcher.connections += 1
+        if self.searcher.connections > self.searcher.max_connections:
+            raw = transport.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            transport.abort()
 
     def data_received(self, data: bytes) -> None:
         # Bytes of a connection that lost some in a cut are never delivered.
@@ -134,6 +163,7 @@
             self.read()
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.searcher.connections -= 1
         if self.exchange is not None:
             self.exchange.drop()
 
