Heads that were answered 408 end no look at other connections

Cause: a stream that was closed keeps the bytes it has read. refuse_slow_headers took such a connection for one with a slow head for as long as it was not collected, and wrote to it: StreamClosedError, which ended the task that had called it.

Why it works: a closed stream is left out, whatever is in its buffer.

--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -134,14 +134,20 @@
             Loop time in seconds.
         """
         for connection in list(self.connections):
-            if connection in self.active_connections or not buffered_bytes(connection.stream):
+            stream = connection.stream
+            # A closed stream keeps what it has read, until the connection is collected.
+            if (
+                stream.closed()
+                or connection in self.active_connections
+                or not buffered_bytes(stream)
+            ):
                 self.headers_started.pop(connection, None)
                 continue
             started_at = self.headers_started.setdefault(connection, at)
             if at - started_at > self.dispatcher.limits.header_timeout:
                 self.dispatcher.metrics.count(f"answers_{STATUS_REQUEST_TIMEOUT}")
-                connection.stream.write(TIMEOUT_RESPONSE)
-                connection.stream.close()
+                stream.write(TIMEOUT_RESPONSE)
+                stream.close()
 
     def close_idle_connections(self) -> None:
         """Close all connections that carry no request, without yielding to the event loop.
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -106,6 +106,27 @@
         self.assertEqual(self.frontend.open_connections, 1)
         self.assertEqual(self.upstream.arrivals, [])
 
+    async def test_head_that_was_answered_408_and_is_not_collected_yet_ends_no_look_at_others(
+        self,
+    ) -> None:
+        at = asyncio.get_running_loop().time()
+        readers = []
+        for _ in range(2):
+            reader, writer = await self.connect()
+            writer.write(b"GET /x/1 HTTP/1.1\r\nHost: h\r\n")
+            readers.append(reader)
+        await asyncio.sleep(0.05)
+        # They stay reachable after their close, as those in reference cycles do.
+        connections = list(self.frontend.connections)
+        connections[0].stream.close()
+        self.frontend.refuse_slow_headers(at)
+        self.frontend.refuse_slow_headers(at + 0.25)
+        self.frontend.refuse_slow_headers(at + 0.5)
+        answers = sorted([await reader.read() for reader in readers])
+        self.assertEqual(answers[0], b"")
+        self.assertTrue(answers[1].startswith(b"HTTP/1.1 408 "))
+        self.assertEqual(len(connections), 2)
+
     async def test_incomplete_body_gets_408(self) -> None:
         status, _ = await self.request(more="Content-Length: 10\r\n", body=b"x")
         self.assertEqual(status, 408)
