Tasks that an instance can't be without are begun again after an error

Any error in one look at the connections ended the task that also evaluates reachability and readiness, for good: the log had one line 'task failed', readiness kept its last value.

Cause: TaskSet.discard logs a failed task and lets it end. Of this kind were all tasks without an end: reachability, counters, repeat budgets, rollouts, gathering roles, the followers of the store, the lease on keys, usage, the peers' receiver, prober and pruning, and in the own interface directory, shares, moves, feed and status.

Change: TaskSet.keep_running logs 'task restarted' and runs them again after a second. The look at callers is a task of its own, apart from reachability. A pass of the gathering roles or of the directory that failed is due again at once, since the change that called for it is not announced twice.

Evidence: test_task_that_must_not_end_goes_on_after_an_error (new).

--- a/libs/core/src/mimosahoist/core/tasks.py
+++ b/libs/core/src/mimosahoist/core/tasks.py
@@ -9,10 +9,11 @@
 from mimosahoist.core import json_log
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
 
 CANCEL_RETRY_SECONDS = 0.2
+RESTART_DELAY_SECONDS = 1.0
 
 
 class TaskSet:
@@ -28,6 +29,26 @@
         task.add_done_callback(self.discard)
         return task
 
+    def keep_running(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> asyncio.Task[None]:
+        """Run a coroutine function until the set is closed, and again whenever an error ends it.
+
+        For what an instance can't be without; `spawn` is for work that may fail.
+        """
+        return self.spawn(self.restart_after_errors(run, name), name)
+
+    async def restart_after_errors(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> None:
+        """Run a coroutine function until it returns, with a pause after each error."""
+        while True:
+            try:
+                return await run()
+            except Exception as error:
+                json_log.info("task restarted", task=name, error=repr(error))
+            await asyncio.sleep(RESTART_DELAY_SECONDS)
+
     def discard(self, task: asyncio.Task[Any]) -> None:
         """Remove a finished task; log its exception if it failed."""
         self.tasks.discard(task)
--- a/libs/core/tests/test_tasks.py
+++ b/libs/core/tests/test_tasks.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.core.tasks import RESTART_DELAY_SECONDS, TaskSet, now
 from mimosahoist.lab.paused_loop import PausedTestCase
 
 
@@ -37,3 +37,20 @@
         await asyncio.sleep(0)
         await tasks.close()
         self.assertEqual(tasks.tasks, set())
+
+    async def test_task_that_must_not_end_goes_on_after_an_error(self) -> None:
+        tasks = TaskSet()
+        runs: list[float] = []
+
+        async def fails_twice() -> None:
+            runs.append(now())
+            if len(runs) < 3:
+                raise ValueError("a connection")
+            await asyncio.sleep(1000)
+
+        tasks.keep_running(fails_twice, "fails_twice")
+        await asyncio.sleep(10)
+        self.assertEqual(len(runs), 3)
+        self.assertGreaterEqual(runs[1] - runs[0], RESTART_DELAY_SECONDS)
+        await tasks.close()
+        self.assertEqual(tasks.tasks, set())
--- a/libs/entry/src/mimosahoist/entry/application.py
+++ b/libs/entry/src/mimosahoist/entry/application.py
@@ -182,7 +182,7 @@
         await self.share_claimer.start()
         await self.follower.start()
         await self.controller.start()
-        self.tasks.spawn(self.publish_applied_revisions(), "applied revision")
+        self.tasks.keep_running(self.publish_applied_revisions, "applied revision")
 
     async def drain(self) -> None:
         """Shut down gracefully.
--- a/libs/entry/src/mimosahoist/entry/directory.py
+++ b/libs/entry/src/mimosahoist/entry/directory.py
@@ -69,7 +69,7 @@
 
     async def start(self) -> None:
         """Start applying changes of the local copies."""
-        self.tasks.spawn(self.run(), "directory")
+        self.tasks.keep_running(self.run, "directory")
 
     async def close(self) -> None:
         """Stop applying changes and close all services."""
@@ -86,7 +86,11 @@
         while True:
             await self.changed.wait()
             self.changed.clear()
-            await self.apply()
+            try:
+                await self.apply()
+            except Exception:
+                self.changed.set()
+                raise
 
     async def apply(self) -> None:
         """Apply callers, services, failure domains and upstreams from the local copies.
--- a/libs/entry/src/mimosahoist/entry/share_claimer.py
+++ b/libs/entry/src/mimosahoist/entry/share_claimer.py
@@ -60,7 +60,7 @@
     async def start(self) -> None:
         """Start claiming a share and updating the view."""
         self.started_at = now()
-        self.tasks.spawn(self.run(), "share claimer")
+        self.tasks.keep_running(self.run, "share claimer")
 
     async def close(self) -> None:
         """Stop updating; the share stays claimed unless `release` was called."""
--- a/libs/forward/src/mimosahoist/forward/follower.py
+++ b/libs/forward/src/mimosahoist/forward/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from mimosahoist.core import json_log
@@ -118,8 +119,8 @@
     async def start(self) -> None:
         """Start following every kind."""
         for kind in WatchedKind:
-            self.tasks.spawn(self.follow(kind), f"follow {kind}")
-        self.tasks.spawn(self.check_for_missed_changes(), "check revision")
+            self.tasks.keep_running(partial(self.follow, kind), f"follow {kind}")
+        self.tasks.keep_running(self.check_for_missed_changes, "check revision")
 
     async def close(self) -> None:
         """Stop following."""
--- a/libs/forward/src/mimosahoist/forward/gathering.py
+++ b/libs/forward/src/mimosahoist/forward/gathering.py
@@ -62,7 +62,7 @@
     async def start(self) -> None:
         """Start updating the roles."""
         self.peers.member_listeners.append(self.changed.set)
-        self.tasks.spawn(self.run(), "update gathering roles")
+        self.tasks.keep_running(self.run, "update gathering roles")
 
     async def close(self) -> None:
         """Stop updating the roles."""
@@ -78,7 +78,11 @@
                 if self.inputs_version() == self.updated_version:
                     continue
             self.changed.clear()
-            self.update_roles()
+            try:
+                self.update_roles()
+            except Exception:
+                self.changed.set()
+                raise
             await asyncio.sleep(MIN_UPDATE_INTERVAL_SECONDS)
 
     def inputs_version(self) -> tuple[int, int]:
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -50,6 +50,7 @@
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
 COUNTERS_INTERVAL_SECONDS = 10.0
+WATCH_CALLERS_INTERVAL_SECONDS = 0.25
 
 
 class ForwardingInstance(StatusSource):
@@ -162,9 +163,10 @@
             server = StatusServer(status_service)
             listen_on(server, address)
             self.servers.append(server)
-        self.tasks.spawn(self.monitor_reachability(), "monitor reachability")
-        self.tasks.spawn(self.log_counters(), "log counters")
-        self.tasks.spawn(self.log_repeat_usage(), "log repeat budgets")
+        self.tasks.keep_running(self.watch_callers, "watch callers")
+        self.tasks.keep_running(self.monitor_reachability, "monitor reachability")
+        self.tasks.keep_running(self.log_counters, "log counters")
+        self.tasks.keep_running(self.log_repeat_usage, "log repeat budgets")
         json_log.info("listening", address=self.settings.callers_address)
 
     def has_organisations(self) -> bool:
@@ -213,14 +215,20 @@
         self.confirmer.lease.set_revocation(bounds.revocation_seconds)
         json_log.info("bounds changed", **bounds._asdict())
 
-    async def monitor_reachability(self) -> None:
-        """Periodically update reachability and readiness, and time out slow headers."""
+    async def watch_callers(self) -> None:
+        """Periodically end the connections of callers that don't keep to the time-outs."""
         while True:
-            await asyncio.sleep(REACHABILITY_INTERVAL_SECONDS)
+            await asyncio.sleep(WATCH_CALLERS_INTERVAL_SECONDS)
             at = now()
             self.frontend.refuse_slow_headers(at)
             self.frontend.close_stuck_writers(at)
             self.frontend.log_intake()
+
+    async def monitor_reachability(self) -> None:
+        """Periodically update reachability and readiness."""
+        while True:
+            await asyncio.sleep(REACHABILITY_INTERVAL_SECONDS)
+            at = now()
             for domain in self.peers.domains_heard_since(at - REACHABILITY_INTERVAL_SECONDS):
                 self.engine.reachability.record_peer_contact(domain, at)
             self.engine.reachability.evaluate(at)
--- a/libs/forward/src/mimosahoist/forward/organisations/confirmation.py
+++ b/libs/forward/src/mimosahoist/forward/organisations/confirmation.py
@@ -69,7 +69,7 @@
 
     async def start(self) -> None:
         """Start renewing the lease."""
-        self.tasks.spawn(self.run(), "confirm configuration")
+        self.tasks.keep_running(self.run, "confirm configuration")
 
     async def close(self) -> None:
         """Stop renewing."""
--- a/libs/forward/src/mimosahoist/forward/organisations/usage_reporter.py
+++ b/libs/forward/src/mimosahoist/forward/organisations/usage_reporter.py
@@ -96,8 +96,8 @@
         """Start counting and reporting."""
         self.started_at = boot_time()
         await self.platform.start()
-        self.tasks.spawn(self.run_counts(), "send usage counts")
-        self.tasks.spawn(self.run_duty(), "report usage")
+        self.tasks.keep_running(self.run_counts, "send usage counts")
+        self.tasks.keep_running(self.run_duty, "report usage")
 
     async def close(self) -> None:
         """Stop reporting."""
--- a/libs/forward/src/mimosahoist/forward/rollout_controller.py
+++ b/libs/forward/src/mimosahoist/forward/rollout_controller.py
@@ -107,7 +107,7 @@
 
     async def start(self) -> None:
         """Start evaluating and advancing rollouts."""
-        self.tasks.spawn(self.run(), "rollouts")
+        self.tasks.keep_running(self.run, "rollouts")
 
     async def close(self) -> None:
         """Stop the controller."""
--- a/libs/moves/src/mimosahoist/moves/controller.py
+++ b/libs/moves/src/mimosahoist/moves/controller.py
@@ -71,7 +71,7 @@
 
     async def start(self) -> None:
         """Start competing for the lease."""
-        self.tasks.spawn(self.run(), "move controller")
+        self.tasks.keep_running(self.run, "move controller")
 
     async def close(self) -> None:
         """Stop the controller."""
--- a/libs/moves/src/mimosahoist/moves/follower.py
+++ b/libs/moves/src/mimosahoist/moves/follower.py
@@ -70,7 +70,7 @@
 
     async def start(self) -> None:
         """Start counting and evaluating."""
-        self.tasks.spawn(self.run(), "move follower")
+        self.tasks.keep_running(self.run, "move follower")
 
     async def close(self) -> None:
         """Stop the follower."""
--- a/libs/peers/src/mimosahoist/peers/exchange.py
+++ b/libs/peers/src/mimosahoist/peers/exchange.py
@@ -117,8 +117,8 @@
         self.last_contact = now()
         await self.transport.start(self.handle_frame)
         self.publish_self(MemberState.ALIVE)
-        self.tasks.spawn(self.prober.run(), "probe members")
-        self.tasks.spawn(self.prune(), "prune facts")
+        self.tasks.keep_running(self.prober.run, "probe members")
+        self.tasks.keep_running(self.prune, "prune facts")
 
     async def leave(self) -> None:
         """Publish that this instance leaves the cluster."""
--- a/libs/peers/src/mimosahoist/peers/feed.py
+++ b/libs/peers/src/mimosahoist/peers/feed.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from mimosahoist.core import json_log
@@ -57,7 +58,7 @@
     async def start(self) -> None:
         """Start updating both copies."""
         for collection in self.copies:
-            self.tasks.spawn(self.feed(collection), f"feed {collection}")
+            self.tasks.keep_running(partial(self.feed, collection), f"feed {collection}")
 
     async def close(self) -> None:
         """Stop updating the copies."""
--- a/libs/peers/src/mimosahoist/peers/zmq_transport.py
+++ b/libs/peers/src/mimosahoist/peers/zmq_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 import zmq
@@ -80,8 +81,8 @@
             self.require_cluster_key(self.keys)
         self.receiver.bind(f"tcp://{self.bind}")
         self.sync_context = zmq.Context.shadow(self.context.underlying)
-        self.tasks.spawn(self.receive(handler), "peer receiver")
-        self.tasks.spawn(self.close_idle_connections(), "close idle peer connections")
+        self.tasks.keep_running(partial(self.receive, handler), "peer receiver")
+        self.tasks.keep_running(self.close_idle_connections, "close idle peer connections")
 
     def require_cluster_key(self, keys: ClusterKeys) -> None:
         """Require clients to authenticate with the cluster's key."""
--- a/libs/upstream/src/mimosahoist/upstream/status_poller.py
+++ b/libs/upstream/src/mimosahoist/upstream/status_poller.py
@@ -109,7 +109,7 @@
         self.control_connection = upstream.transport.open(
             upstream.address, False, upstream.handle_closed
         )
-        upstream.tasks.spawn(self.poll_status(), f"status {upstream.name}")
+        upstream.tasks.keep_running(self.poll_status, f"status {upstream.name}")
 
     def close(self) -> None:
         """Close the control connection; the upstream has already ended the polling task."""
