Heads over the limit are not held

Cause: tornado buffered a head of up to 1 MB (MAX_HEADER_BYTES); it was compared with the configuration's limit only when it was complete, and no byte of it was counted before.

Change: callers' connections are streams of their own kind, which read a head up to max_header_bytes of the configuration in force and are then answered 431 and closed.

The tests of the frontend use the server that is deployed in place of tornado's own; what they check is unchanged.

--- a/libs/forward/src/mimosahoist/forward/callers/servers.py
+++ b/libs/forward/src/mimosahoist/forward/callers/servers.py
@@ -7,6 +7,8 @@
 
 from tornado.httpserver import HTTPServer
 
+from mimosahoist.forward.callers.stream import CallerStream
+
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1ServerConnection
     from tornado.iostream import IOStream
@@ -30,6 +32,7 @@
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a new connection, if there is room for it."""
+        stream = CallerStream(stream.socket, self.frontend)
         if self.frontend.open_connection(stream):
             super().handle_stream(stream, address)
         else:
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -12,12 +12,14 @@
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.callers.intake import Holding, Intake, Phase, limits_of_machine
 from mimosahoist.forward.callers.message import (
+    STATUS_HEADERS_TOO_LARGE,
     STATUS_REQUEST_TIMEOUT,
     STATUS_UNAVAILABLE,
     CallerMessageDelegate,
     MessageOwner,
     written_bytes,
 )
+from mimosahoist.forward.callers.stream import HeadLimits
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -29,7 +31,7 @@
 END_TIMEOUT_SECONDS = 0.2
 
 
-class CallerFrontend(MessageOwner, HTTPServerConnectionDelegate):
+class CallerFrontend(MessageOwner, HeadLimits, HTTPServerConnectionDelegate):
     """Reads callers' requests and writes the responses.
 
     Attributes
@@ -53,6 +55,15 @@
         self.active_connections: WeakSet[HTTP1ServerConnection] = WeakSet()
         self.headers_started: WeakKeyDictionary[HTTP1ServerConnection, float] = WeakKeyDictionary()
 
+    @property
+    def max_head_bytes(self) -> int:
+        """Largest head of a request, by the configuration in force."""
+        return self.dispatcher.limits.header_bytes
+
+    def record_head_too_large(self) -> None:
+        """Count a head that was refused."""
+        self.dispatcher.metrics.count(f"answers_{STATUS_HEADERS_TOO_LARGE}")
+
     def open_connection(self, stream: IOStream) -> bool:
         """Take a new connection; return False if there is no room for it."""
         holding = self.intake.open(now(), lambda: self.give_way(stream))
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -45,7 +45,8 @@
 
 # `CallerFrontend` enforces the limits of the configuration itself.
 MAX_BODY_BYTES = 1 << 30
-MAX_HEADER_BYTES = 1 << 20
+# Relayed requests have more fields than those of callers.
+MAX_RELAYED_HEADER_BYTES = 1 << 20
 DRAIN_NOTICE_SECONDS = 2.5
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
@@ -147,15 +148,15 @@
         await self.confirmer.start()
         if self.usage is not None:
             await self.usage.start()
-        self.caller_server = CallerServer(
-            self.frontend, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
-        )
+        self.caller_server = CallerServer(self.frontend, max_body_size=MAX_BODY_BYTES)
         listen_on(self.caller_server, self.settings.callers_address)
         status_service = StatusService(self, self.settings.readiness_path)
         self.servers = [self.caller_server]
         if self.settings.relay_address:
             relay_server = HTTPServer(
-                self.relay_frontend, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
+                self.relay_frontend,
+                max_header_size=MAX_RELAYED_HEADER_BYTES,
+                max_body_size=MAX_BODY_BYTES,
             )
             listen_on(relay_server, self.settings.relay_address)
             self.servers.append(relay_server)
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -9,7 +9,6 @@
 from unittest import mock
 
 from fakes import HEADER_NAMES, EngineFixture, FakeUpstream, answered, plain_route
-from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
 from mimosahoist.core.metrics import Metrics
@@ -34,7 +33,7 @@
         self.configure(plain_route(RouteKind.NON_IDEMPOTENT))
         dispatcher = Dispatcher(self.state_cache, self.fixture.engine, HEADER_NAMES, Metrics())
         self.frontend = CallerFrontend(dispatcher)
-        self.server = HTTPServer(self.frontend, max_header_size=1 << 20)
+        self.server = CallerServer(self.frontend)
         sock, self.port = bind_unused_port()
         self.server.add_sockets([sock])
         self.rng = random.Random(2)
@@ -252,7 +251,7 @@
         self.dispatcher = Dispatcher(cache, self.fixture.engine, HEADER_NAMES, Metrics())
         intake = Intake(IntakeLimits(3, 10, 6000, 1000))
         self.frontend = CallerFrontend(self.dispatcher, intake)
-        self.server = CallerServer(self.frontend, max_header_size=1 << 20)
+        self.server = CallerServer(self.frontend)
         sock, self.port = bind_unused_port()
         self.server.add_sockets([sock])
 
