Nothing is begun for callers that have left

Cause: bytes that were read stay readable after a stream has closed, and tornado goes on with the next request in them; the close callback that is set then is never called, as the close has passed. While a request is served and bytes of the next one lie in the buffer, tornado doesn't listen for the close at all. A whole body whose connection closed while it was read was begun as well.

Change: a head is handed on only if its connection is open, and if bytes follow it, only if the kernel knows of no close behind them (poll, POLLRDHUP). A request whose body ends on a closed stream is dropped.

Evidence: test_nothing_is_begun_for_callers_that_sent_ahead_and_left and test_whole_body_of_a_caller_that_has_left_is_not_begun (new; the second fails before, the first can't be run before as it calls the new look).

--- a/libs/forward/src/mimosahoist/forward/callers/message.py
+++ b/libs/forward/src/mimosahoist/forward/callers/message.py
@@ -166,6 +166,10 @@
         self.stop_body_timer()
         if self.refused:
             return
+        if self.server_connection.stream.closed():
+            # The end of the body was read before, and nobody waits for the answer.
+            self.on_connection_close()
+            return
         if not self.holding.add(self.serving_bytes(), now()):
             self.refuse(STATUS_UNAVAILABLE)
             return
--- a/libs/forward/src/mimosahoist/forward/callers/stream.py
+++ b/libs/forward/src/mimosahoist/forward/callers/stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any
 
@@ -17,6 +18,7 @@
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
+PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class HeadLimits(ABC):
@@ -41,7 +43,24 @@
 
     def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
         """Read the head of a request, up to the limit that is in force now."""
-        return super().read_until_regex(regex, self.limits.max_head_bytes)
+        return self.read_head(regex)
+
+    async def read_head(self, regex: bytes) -> bytes:
+        """Read the head of a request whose caller is still there.
+
+        What was sent ahead stays readable after the connection has closed.
+
+        Raises
+        ------
+        StreamClosedError
+            If the caller has left.
+        """
+        head = await super().read_until_regex(regex, self.limits.max_head_bytes)
+        if self.has_unread_bytes and self.peer_has_closed():
+            self.close()
+        if self.closed():
+            raise StreamClosedError(self.error)
+        return head
 
     def close(self, exc_info: Any = False) -> None:
         """Close the connection, with an answer if it is for a head that is too large."""
@@ -52,3 +71,16 @@
             except StreamClosedError:
                 pass
         super().close(exc_info)
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes of the caller wait to be read, so that its close goes unnoticed."""
+        return self._read_buffer_size > 0
+
+    def peer_has_closed(self) -> bool:
+        """Whether the caller has closed the connection, also if unread bytes precede the close."""
+        if self.closed():
+            return True
+        poller = select.poll()
+        poller.register(self.fileno(), select.POLLRDHUP)
+        return any(events & PEER_CLOSED_EVENTS for _, events in poller.poll(0))
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -19,7 +19,7 @@
     MessageOwner,
     written_bytes,
 )
-from mimosahoist.forward.callers.stream import HeadLimits
+from mimosahoist.forward.callers.stream import CallerStream, HeadLimits
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -107,6 +107,13 @@
         for holding in self.intake.stuck_writers(at - self.dispatcher.limits.idle_timeout):
             self.intake.end(holding)
 
+    def close_left_connections(self) -> None:
+        """Close connections whose callers have left, though bytes sent ahead hide their close."""
+        for stream, holding in list(self.holdings.items()):
+            is_hidden = holding.phase is Phase.SERVING and isinstance(stream, CallerStream)
+            if is_hidden and stream.has_unread_bytes and stream.peer_has_closed():
+                stream.close()
+
     def log_intake(self) -> None:
         """Log that connections had to give way since the last time."""
         gave_way = self.intake.gave_way
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -222,6 +222,7 @@
             await asyncio.sleep(WATCH_CALLERS_INTERVAL_SECONDS)
             at = now()
             self.frontend.refuse_slow_headers(at)
+            self.frontend.close_left_connections()
             self.frontend.close_stuck_writers(at)
             self.frontend.log_intake()
 
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -13,6 +13,7 @@
 
 from mimosahoist.core.metrics import Metrics
 from mimosahoist.forward.callers.intake import Intake, IntakeLimits
+from mimosahoist.forward.callers.message import CallerMessageDelegate
 from mimosahoist.forward.callers.servers import CallerServer
 from mimosahoist.forward.declarations import CallerLimits, Configuration, RouteKind, SharedBounds
 from mimosahoist.forward.dispatcher import Dispatcher
@@ -181,6 +182,38 @@
         self.assertEqual(len(dropped), 1)
         self.assertEqual(self.frontend.open_requests, 0)
 
+    async def test_nothing_is_begun_for_callers_that_sent_ahead_and_left(self) -> None:
+        self.upstream.script = lambda number: (0.3, answered("x"))
+        for is_reset in (False, True):
+            with self.subTest(is_reset=is_reset):
+                self.upstream.arrivals.clear()
+                _, writer = await self.connect()
+                writer.write(50 * GET.format(path="/x/1", more="").encode())
+                await asyncio.sleep(0.1)
+                if is_reset:
+                    writer.transport.abort()
+                writer.close()
+                await asyncio.sleep(0.1)
+                self.frontend.close_left_connections()
+                await asyncio.sleep(0.7)
+                self.assertEqual(len(self.upstream.arrivals), 1)
+                self.assertEqual(self.frontend.open_requests, 0)
+
+    async def test_whole_body_of_a_caller_that_has_left_is_not_begun(self) -> None:
+        receive = CallerMessageDelegate.data_received
+
+        def receive_and_lose(delegate: CallerMessageDelegate, chunk: bytes) -> None:
+            receive(delegate, chunk)
+            delegate.server_connection.stream.close()
+
+        with mock.patch.object(CallerMessageDelegate, "data_received", receive_and_lose):
+            _, writer = await self.connect()
+            head = GET.format(path="/x/1", more="Content-Length: 500\r\n").encode()
+            writer.write(head + b"x" * 500)
+            await asyncio.sleep(0.1)
+        self.assertEqual(self.upstream.arrivals, [])
+        self.assertEqual(self.frontend.intake.held_bytes, 0)
+
     async def test_drain_drops_no_request_that_was_read(self) -> None:
         self.upstream.script = lambda number: (0.02, answered("x"))
         self.begin_stop()
