One caller can't take up the processor: requests are taken on in fair turns

Callers saw: beside 30 callers with heads of 2,200 short fields, or callers that send requests ahead, no ordinary request was served for 30 s.

Cause: whatever had been read was parsed and begun at once. A head of 2,200 fields takes tens of milliseconds, requests that were sent ahead follow each other without a pause, and one turn of the event loop did this for all connections before it looked at any other.

Change: a request waits, before its head is parsed, in a self-clocked fair queue (callers/turns.py). Its cost is its header lines and a part for taking it on; one that was sent ahead counts tenfold. A turn of the event loop takes on 400 lines at most, or one head that is larger. Where nothing waits, a request is taken on without a pause.

Evidence: test_turns (new, on the paused clock): an ordinary request goes before a crowd of heavy heads, waits for the work of one turn beside 50 callers who send ahead, and heavy ones are not starved. test_short_fields_again_and_again_at_each_path failed before and passes, one run.

--- a/libs/forward/src/mimosahoist/forward/callers/stream.py
+++ b/libs/forward/src/mimosahoist/forward/callers/stream.py
@@ -8,10 +8,14 @@
 
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
+from mimosahoist.forward.callers.turns import Account
+
 if TYPE_CHECKING:
     import socket
     from collections.abc import Awaitable
 
+    from mimosahoist.forward.callers.turns import Turns
+
 # What is read of a connection before others have their turn.
 READ_CHUNK_BYTES = 16 << 10
 TOO_LARGE_RESPONSE = (
@@ -29,6 +33,11 @@
     def max_head_bytes(self) -> int:
         """Largest head of a request, from its first byte to the end of the blank line."""
 
+    @property
+    @abstractmethod
+    def turns(self) -> Turns:
+        """Order in which requests of all connections are taken on."""
+
     @abstractmethod
     def record_head_too_large(self) -> None:
         """Count a head that was refused."""
@@ -40,13 +49,14 @@
     def __init__(self, raw: socket.socket, limits: HeadLimits) -> None:
         super().__init__(raw, read_chunk_size=READ_CHUNK_BYTES)
         self.limits = limits
+        self.account = Account()
 
     def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
         """Read the head of a request, up to the limit that is in force now."""
         return self.read_head(regex)
 
     async def read_head(self, regex: bytes) -> bytes:
-        """Read the head of a request whose caller is still there.
+        """Read the head of a request whose caller is still there, and wait for its turn.
 
         What was sent ahead stays readable after the connection has closed.
 
@@ -56,6 +66,7 @@
             If the caller has left.
         """
         head = await super().read_until_regex(regex, self.limits.max_head_bytes)
+        await self.limits.turns.wait(self.account, head.count(b"\n"), self.has_unread_bytes)
         if self.has_unread_bytes and self.peer_has_closed():
             self.close()
         if self.closed():
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -20,6 +20,7 @@
     written_bytes,
 )
 from mimosahoist.forward.callers.stream import CallerStream, HeadLimits
+from mimosahoist.forward.callers.turns import Turns
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -43,6 +44,7 @@
     def __init__(self, dispatcher: Dispatcher, intake: Intake | None = None) -> None:
         self.dispatcher = dispatcher
         self.intake = intake or Intake(limits_of_machine(0, 0))
+        self.request_turns = Turns()
         self.holdings: WeakKeyDictionary[IOStream, Holding] = WeakKeyDictionary()
         self.written: WeakKeyDictionary[IOStream, int] = WeakKeyDictionary()
         self.draining = False
@@ -60,6 +62,11 @@
         """Largest head of a request, by the configuration in force."""
         return self.dispatcher.limits.header_bytes
 
+    @property
+    def turns(self) -> Turns:
+        """Order in which requests of all connections are taken on."""
+        return self.request_turns
+
     def record_head_too_large(self) -> None:
         """Count a head that was refused."""
         self.dispatcher.metrics.count(f"answers_{STATUS_HEADERS_TOO_LARGE}")
