Closed connections of callers are not kept with their last request

Callers saw: instances grew with every connection that was ever made, and held the head of its last request, and at the callers' port its body, until the process ended.

Cause: frontend.readers maps a stream to the reader of its request, with weak keys; but a reader refers to its stream, so no entry ever left the map. The server between instances had no hook for a closed connection at all.

Change: the map is a plain one, from which a connection is taken when it closes; the servers of callers and of instances share the hook.

--- a/libs/forward/src/mimosahoist/forward/callers/servers.py
+++ b/libs/forward/src/mimosahoist/forward/callers/servers.py
@@ -22,14 +22,23 @@
 STATUS_BODY_SECONDS = 2.0
 
 
-class CallerServer(HTTPServer):
-    """Server for callers, who may have to give way to each other."""
+class FrontendServer(HTTPServer):
+    """Server whose connections are known to a frontend, also when they close."""
 
     def initialize(self, frontend: CallerFrontend, **parameters: Any) -> None:
-        """Serve with a frontend, which knows how many connections it may have."""
+        """Serve with a frontend."""
         super().initialize(frontend, **parameters)
         self.frontend = frontend
 
+    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
+        """Release what the connection holds."""
+        self.frontend.close_connection(server_conn.stream)
+        super().on_close(server_conn)
+
+
+class CallerServer(FrontendServer):
+    """Server for callers, who may have to give way to each other."""
+
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a new connection, if there is room for it."""
         stream = CallerStream(stream.socket, self.frontend)
@@ -38,11 +47,6 @@
         else:
             stream.close()
 
-    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
-        """Release what the connection holds."""
-        self.frontend.close_connection(server_conn.stream)
-        super().on_close(server_conn)
-
 
 class StatusServer(HTTPServer):
     """Server for short requests without bodies; the oldest connection gives way to a new one."""
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -51,7 +51,7 @@
         self.ending = False
         self.open_requests = 0
         self.logged_gave_way = 0
-        self.readers: WeakKeyDictionary[IOStream, CallerMessageDelegate] = WeakKeyDictionary()
+        self.readers: dict[IOStream, CallerMessageDelegate] = {}
         self.tasks = TaskSet()
         self.connections: WeakSet[HTTP1ServerConnection] = WeakSet()
         self.active_connections: WeakSet[HTTP1ServerConnection] = WeakSet()
@@ -82,6 +82,8 @@
 
     def close_connection(self, stream: IOStream) -> None:
         """Release what a connection holds, which was closed."""
+        # A reader refers to its stream, so that a weak key alone would keep both.
+        self.readers.pop(stream, None)
         holding = self.holdings.pop(stream, None)
         if holding is not None:
             holding.close()
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -10,7 +10,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.callers.intake import Intake, limits_of_machine
-from mimosahoist.forward.callers.servers import CallerServer, StatusServer
+from mimosahoist.forward.callers.servers import CallerServer, FrontendServer, StatusServer
 from mimosahoist.forward.delegation import Delegation
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
@@ -153,7 +153,7 @@
         status_service = StatusService(self, self.settings.readiness_path)
         self.servers = [self.caller_server]
         if self.settings.relay_address:
-            relay_server = HTTPServer(
+            relay_server = FrontendServer(
                 self.relay_frontend,
                 max_header_size=MAX_RELAYED_HEADER_BYTES,
                 max_body_size=MAX_BODY_BYTES,
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
 import unittest
 from dataclasses import replace
@@ -14,7 +15,7 @@
 from mimosahoist.core.metrics import Metrics
 from mimosahoist.forward.callers.intake import Intake, IntakeLimits
 from mimosahoist.forward.callers.message import CallerMessageDelegate
-from mimosahoist.forward.callers.servers import CallerServer
+from mimosahoist.forward.callers.servers import CallerServer, FrontendServer
 from mimosahoist.forward.declarations import CallerLimits, Configuration, RouteKind, SharedBounds
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.front import CallerFrontend
@@ -182,6 +183,23 @@
         self.assertEqual(len(dropped), 1)
         self.assertEqual(self.frontend.open_requests, 0)
 
+    async def test_closed_connections_are_not_kept(self) -> None:
+        for server in (self.server, FrontendServer(self.frontend)):
+            with self.subTest(type(server).__name__):
+                if server is not self.server:
+                    sock, self.port = bind_unused_port()
+                    server.add_sockets([sock])
+                    self.addCleanup(server.stop)
+                for _ in range(5):
+                    reader, writer = await self.connect()
+                    writer.write(GET.format(path="/x/1", more="").encode())
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.close()
+                await asyncio.sleep(0.1)
+                gc.collect()
+                self.assertEqual(len(self.frontend.readers), 0)
+                self.assertEqual(len(self.frontend.connections), 0)
+
     async def test_nothing_is_begun_for_callers_that_sent_ahead_and_left(self) -> None:
         self.upstream.script = lambda number: (0.3, answered("x"))
         for is_reset in (False, True):
