A body exists once, and a call keeps no header fields while it waits

Cause: each call of a search joined head and body to a copy of its own, and kept its copy of all header fields until the response had come; the estimate counted fields once a shard and bodies once.

Change: bodies of more than 8 KB are written apart from their head, as they are, to upstreams and to callers; header fields are made when they are written and not kept. The estimate of a request's fields is now two further copies, whatever its shards.

Evidence: test_body_is_written_without_a_copy_for_each_call and test_header_fields_are_not_kept_while_the_response_is_awaited (new).

--- a/libs/forward/src/mimosahoist/forward/callers/message.py
+++ b/libs/forward/src/mimosahoist/forward/callers/message.py
@@ -15,6 +15,7 @@
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.admission.validation import Refusal
 from mimosahoist.forward.callers.intake import FIELD_BYTES, Phase
+from mimosahoist.forward.connection import write_message
 from mimosahoist.forward.delegation import (
     FAILED_SHARDS_HEADER,
     PENDING_SHARDS_HEADER,
@@ -57,6 +58,8 @@
 MAX_LOGGED_ERROR_CHARACTERS = 200
 # Seconds in which a crowd that takes up an instance's memory makes way.
 RETRY_AFTER_CROWD = "0.500"
+# Header fields are copied for the request, and again for an instance that gathers for this one.
+SERVING_COPIES = 2
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -185,12 +188,7 @@
 
     def serving_bytes(self) -> int:
         """Bytes that copies of the header fields take while the request is served."""
-        routes = self.frontend.dispatcher.state_cache.routes
-        route = None
-        if routes is not None:
-            route = routes.find(self.headers.get("Host", ""), self.start_line.path)
-        copies = 1 + len(route.shards) if route is not None else 1
-        return copies * FIELD_BYTES * len(self.headers)
+        return SERVING_COPIES * FIELD_BYTES * len(self.headers)
 
     def on_connection_close(self) -> None:
         """Discard a request whose connection was closed before it was complete."""
@@ -289,9 +287,8 @@
                 body = b""
             self.holding.release()
             self.holding.enter(Phase.WRITING, now())
-            self.request_connection.write_headers(line, headers, body)
+            write_message(self.request_connection, line, headers, body)
             self.hold_unread(len(body))
-            self.request_connection.finish()
         except StreamClosedError:
             json_log.info("response not written", reason="caller closed the connection")
 
--- a/libs/forward/src/mimosahoist/forward/connection.py
+++ b/libs/forward/src/mimosahoist/forward/connection.py
@@ -26,11 +26,14 @@
     from mimosahoist.forward.receive_buffers import ReceiveBuffers
 
     HeadListener = Callable[[int, HTTPHeaders], None]
+    HeadersSource = Callable[[], HTTPHeaders]
 
 CONNECTION_PARAMETERS = HTTP1ConnectionParameters(
     max_header_size=64 * 1024, max_body_size=MAX_RESPONSE_BYTES, decompress=False
 )
 READ_BUFFER_BYTES = 256 * 1024
+# Larger bodies are written apart from their head.
+MAX_JOINED_BODY_BYTES = 8 << 10
 # An upstream may announce its answer with a few 1xx responses.
 MAX_INTERIM_RESPONSES = 8
 # An upstream in trouble may send other numbers; callers must not get them.
@@ -191,7 +194,7 @@
         self.stream.close()
 
     async def exchange(
-        self, method: str, target: str, headers: HTTPHeaders, body: bytes, on_head: HeadListener
+        self, method: str, target: str, headers: HeadersSource, body: bytes, on_head: HeadListener
     ) -> Answered | Lost:
         """Send a request and read its response.
 
@@ -199,6 +202,8 @@
 
         Parameters
         ----------
+        headers : callable
+            Gives the header fields, which are not kept while the response is awaited.
         on_head : callable
             Called with the response's status and headers, also if its body breaks off or the call
             is cancelled later.
@@ -214,7 +219,7 @@
         collector: ResponseCollector,
         method: str,
         target: str,
-        headers: HTTPHeaders,
+        headers: HeadersSource,
         body: bytes,
     ) -> Answered | Lost:
         """Send a request and collect its response."""
@@ -222,8 +227,7 @@
         http = HTTP1Connection(self.stream, True, CONNECTION_PARAMETERS)
         self.stream.set_close_callback(None)
         try:
-            http.write_headers(RequestStartLine(method, target, "HTTP/1.1"), headers, body)
-            http.finish()
+            write_message(http, RequestStartLine(method, target, "HTTP/1.1"), headers(), body)
             await http.read_response(collector)
         except StreamClosedError:
             self.close()
@@ -255,6 +259,21 @@
         self.usable_until = now() + keep_alive_seconds(headers.get("Keep-Alive", ""))
 
 
+def write_message(
+    http: HTTP1Connection,
+    start_line: RequestStartLine | ResponseStartLine,
+    headers: HTTPHeaders,
+    body: bytes,
+) -> None:
+    """Write a whole message; a large body is not copied, so that it exists once for all calls."""
+    if len(body) <= MAX_JOINED_BODY_BYTES:
+        http.write_headers(start_line, headers, body)
+    else:
+        http.write_headers(start_line, headers)
+        http.write(body)
+    http.finish()
+
+
 def keep_alive_seconds(header: str) -> float:
     """Seconds for which an idle connection may be reused, from a ``Keep-Alive`` header.
 
--- a/libs/forward/src/mimosahoist/forward/upstream.py
+++ b/libs/forward/src/mimosahoist/forward/upstream.py
@@ -253,7 +253,7 @@
                 outcome = await connection.exchange(
                     request.method,
                     request.target,
-                    self.request_headers(request),
+                    lambda: self.request_headers(request),
                     request.body,
                     lambda status, headers: self.handle_head(status, headers, request, sent),
                 )
--- a/libs/forward/tests/test_connection.py
+++ b/libs/forward/tests/test_connection.py
@@ -5,10 +5,12 @@
 import asyncio
 import contextlib
 import unittest
+import weakref
 from unittest import mock
 
 from fakes import HEADER_NAMES, gathering_route
 from tornado.httputil import HTTPHeaders
+from tornado.iostream import IOStream
 
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.connection import keep_alive_seconds
@@ -82,11 +84,13 @@
         self.addCleanup(upstream.close)
         return upstream
 
-    async def call(self, upstream: Upstream, id: str = "r1", seconds: float = 5.0) -> CallOutcome:
+    async def call(
+        self, upstream: Upstream, id: str = "r1", seconds: float = 5.0, body: bytes = b""
+    ) -> CallOutcome:
         headers = HTTPHeaders({HEADER_NAMES.request_id: id, "Host": "h"})
         at = now()
         request = CallerRequest(
-            id, gathering_route(1), "GET", "/x/1", headers, b"", at, at + 5, at + 5, at + 5
+            id, gathering_route(1), "GET", "/x/1", headers, body, at, at + 5, at + 5, at + 5
         )
         return await upstream.call(request, at + seconds)
 
@@ -121,6 +125,39 @@
                 self.assertEqual(len(self.scripted.requests), 1)
                 self.assertEqual((upstream.pool.idle, upstream.pool.open_count), ([], 0))
 
+    async def test_body_is_written_without_a_copy_for_each_call(self) -> None:
+        body = b"x" * 200_000
+        written: list[object] = []
+        write = IOStream.write
+
+        def record(stream: IOStream, data: bytes) -> object:
+            written.append(data)
+            return write(stream, data)
+
+        with mock.patch.object(IOStream, "write", record):
+            for number in range(3):
+                upstream = await self.upstream((COMPLETE, CLOSE))
+                self.assertIsInstance(await self.call(upstream, f"r{number}", body=body), Answered)
+        self.assertEqual(sum(data is body for data in written), 3)
+        self.assertLess(max(len(data) for data in written if data is not body), 1000)
+
+    async def test_header_fields_are_not_kept_while_the_response_is_awaited(self) -> None:
+        upstream = await self.upstream((b"", KEEP))
+        kept: list[weakref.ref[HTTPHeaders]] = []
+        request_headers = upstream.request_headers
+
+        def record(request: CallerRequest) -> HTTPHeaders:
+            headers = request_headers(request)
+            kept.append(weakref.ref(headers))
+            return headers
+
+        with mock.patch.object(upstream, "request_headers", record):
+            task = asyncio.create_task(self.call(upstream, seconds=1.0))
+            while not self.scripted.requests:
+                await asyncio.sleep(0.01)
+            self.assertEqual([reference() for reference in kept], [None])
+            self.assertIsInstance(await task, Lost)
+
     async def test_complete_responses(self) -> None:
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + SIGNED + b"\r\n"
         chunked += b"4\r\nbody\r\n0\r\n\r\n"
