What callers may hold follows from the memory that the process really has

Cause: what is held was estimated kind by kind against a fixed share of the memory; whatever isn't expected (calls that outlive their answer, buffers, garbage) wasn't counted and took nothing off that share.

Beyond three quarters of the machine's memory callers may hold no more than they do: those without progress give way, newcomers with large requests are refused (503, before anything is begun). Requests of 64 KB at most are still taken, and a single request always is. Connections are kept in the order of their progress, so that the one to give way is found without looking at all.

--- a/libs/forward/src/mimosahoist/forward/callers/intake.py
+++ b/libs/forward/src/mimosahoist/forward/callers/intake.py
@@ -3,16 +3,24 @@
 Answers crowds that connect and send nothing, stop half-way through a request, send very many short
 header fields, or don't read their answers. Whoever has made no progress for longest gives way, so
 that callers who send and read at an ordinary pace are served beside any such crowd.
+
+What is held for callers is counted, and decides who gives way. How much they may hold is decided by
+the memory that the process really has, whatever else has filled it.
 """
 
 from __future__ import annotations
 
 import enum
+from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
+from mimosahoist.core.process_memory import UnknownMemory
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mimosahoist.core.process_memory import ProcessMemory
+
 DEFAULT_MEMORY_BYTES = 256 << 20
 DEFAULT_DESCRIPTORS = 1024
 # Descriptors that the platform keeps for files.
@@ -29,6 +37,16 @@
 MIN_RECEIVING_BYTES = 9 << 20
 # A header field as objects, whatever its length.
 FIELD_BYTES = 250
+# A request that takes more processor time than some ten ordinary ones.
+HEAVY_REQUEST_LINES = 400
+# Beyond this share of the memory, callers may hold no more than they do.
+RESIDENT_MEMORY_SHARE = 0.75
+# The process's memory is looked at again after so many further bytes of callers.
+SAMPLE_BYTES = 512 << 10
+# A connection is not ended for a new one before it has been without progress for so long.
+MIN_STUCK_SECONDS = 0.05
+# Requests of this size are taken while the memory is short.
+SMALL_REQUEST_BYTES = 64 << 10
 
 
 class IntakeLimits(NamedTuple):
@@ -42,12 +60,15 @@
         Bodies, header fields and answers that are held for callers.
     receiving_bytes : int
         Responses of upstreams that are being received.
+    resident_bytes : int
+        Memory of the process beyond which callers may hold no more; 0 if it is not bounded.
     """
 
     caller_connections: int
     upstream_connections: int
     held_bytes: int
     receiving_bytes: int
+    resident_bytes: int = 0
 
 
 def limits_of_machine(memory_bytes: int, descriptors: int) -> IntakeLimits:
@@ -60,6 +81,7 @@
         int(UPSTREAMS_DESCRIPTOR_SHARE * sockets),
         max(MIN_HELD_BYTES, int(CALLERS_MEMORY_SHARE * (memory - BASE_MEMORY_BYTES))),
         max(MIN_RECEIVING_BYTES, receiving),
+        int(RESIDENT_MEMORY_SHARE * memory),
     )
 
 
@@ -68,6 +90,7 @@
 
     NEW = "has sent no whole request yet"
     IDLE = "waits for the next request"
+    WAITING = "has sent the head of a request, which waits for its turn"
     READING = "sends a request"
     SERVING = "waits for its answer"
     WRITING = "reads its answer"
@@ -86,6 +109,8 @@
         Loop time in seconds at which the caller last sent or read anything.
     give_way : callable
         Ends the connection; what it holds is released before.
+    waiting_cost : int
+        Processor time, in header lines, that the request would take which waits for its turn.
     """
 
     def __init__(self, intake: Intake, at: float, give_way: Callable[[], None]) -> None:
@@ -94,20 +119,34 @@
         self.progressed_at = at
         self.give_way = give_way
         self.size = 0
+        self.waiting_cost = 0
+
+    def wait(self, cost: int, at: float) -> None:
+        """Record that a request waits for its turn."""
+        self.waiting_cost = cost
+        self.enter(Phase.WAITING, at)
 
     def enter(self, phase: Phase, at: float) -> None:
         """Record that the connection is in another phase."""
+        self.intake.by_phase[self.phase].pop(self, None)
         self.phase = phase
+        self.progress(at)
+
+    def progress(self, at: float) -> None:
+        """Record that the caller has sent or read something."""
         self.progressed_at = at
+        if self in self.intake.holdings:
+            self.intake.move_to_end(self)
 
     def add(self, size: int, at: float) -> bool:
         """Hold more, for which others may have to give way; return False if there is no room.
 
         A single request is always taken, whatever its size.
         """
-        self.progressed_at = at
+        self.progress(at)
         self.size += size
         self.intake.held_bytes += size
+        self.intake.record_growth(size)
         return self.intake.make_room(self)
 
     def release(self) -> None:
@@ -118,6 +157,7 @@
     def close(self) -> None:
         """Forget the connection."""
         self.release()
+        self.intake.by_phase[self.phase].pop(self, None)
         self.intake.holdings.discard(self)
 
 
@@ -126,47 +166,124 @@
 
     Attributes
     ----------
+    by_phase : dict
+        Open connections in each phase, the one without progress for longest first.
     held_bytes : int
         Sum over all holdings.
+    allowed_bytes : int
+        What callers may hold together at present.
+    is_short : bool
+        Whether the process holds more memory than it should, so that only small requests are taken.
     gave_way : int
         Number of connections that had to give way so far.
     """
 
-    def __init__(self, limits: IntakeLimits) -> None:
+    def __init__(self, limits: IntakeLimits, memory: ProcessMemory | None = None) -> None:
         self.limits = limits
+        self.memory = memory or UnknownMemory()
         self.holdings: set[Holding] = set()
+        self.by_phase: dict[Phase, OrderedDict[Holding, None]] = {
+            phase: OrderedDict() for phase in Phase
+        }
         self.held_bytes = 0
+        self.allowed_bytes = limits.held_bytes
+        self.is_short = False
+        self.unsampled_bytes = 0
         self.gave_way = 0
 
     def open(self, at: float, give_way: Callable[[], None]) -> Holding | None:
         """Take a connection, for which another one may have to give way; None if none can."""
         if len(self.holdings) >= self.limits.caller_connections:
-            victim = self.longest_stuck(UNFINISHED_PHASES) or self.longest_stuck({Phase.IDLE})
+            victim = self.victim_for_connection(at - MIN_STUCK_SECONDS)
             if victim is None:
                 return None
             self.end(victim)
         holding = Holding(self, at, give_way)
         self.holdings.add(holding)
+        holding.progress(at)
         return holding
 
+    def victim_for_connection(self, before: float) -> Holding | None:
+        """Connection without progress since a loop time that gives way to a new one."""
+        candidates = (
+            self.longest_stuck(UNFINISHED_PHASES),
+            self.heaviest_waiting(),
+            self.longest_stuck({Phase.IDLE}),
+        )
+        found = (item for item in candidates if item is not None and item.progressed_at <= before)
+        return next(found, None)
+
+    def heaviest_waiting(self) -> Holding | None:
+        """Connection whose request would take most processor time, if it is no ordinary one."""
+        waiting = self.by_phase[Phase.WAITING]
+        heaviest = max(waiting, key=lambda holding: holding.waiting_cost, default=None)
+        if heaviest is None or heaviest.waiting_cost < HEAVY_REQUEST_LINES:
+            return None
+        return heaviest
+
+    def move_to_end(self, holding: Holding) -> None:
+        """Keep the connections of a phase in the order of their last progress."""
+        in_phase = self.by_phase[holding.phase]
+        last = next(reversed(in_phase), None)
+        in_phase[holding] = None
+        in_phase.move_to_end(holding)
+        if last is not None and last.progressed_at > holding.progressed_at:
+            ordered = sorted(in_phase, key=lambda item: item.progressed_at)
+            self.by_phase[holding.phase] = OrderedDict.fromkeys(ordered)
+
+    def record_growth(self, size: int) -> None:
+        """Count bytes that were taken on, and look at the process's memory once they are many."""
+        self.unsampled_bytes += size
+        if self.unsampled_bytes >= SAMPLE_BYTES:
+            self.sample_memory()
+
+    def sample_memory(self) -> None:
+        """Decide from the process's memory how much callers may hold."""
+        self.unsampled_bytes = 0
+        resident = self.memory.resident_bytes() if self.limits.resident_bytes else 0
+        if not resident:
+            return
+        room = self.limits.resident_bytes - resident
+        self.is_short = room <= 0
+        self.allowed_bytes = max(0, min(self.limits.held_bytes, self.held_bytes + room))
+
     def make_room(self, grown: Holding) -> bool:
         """Have holdings give way until the bytes are within their limit; whether they are."""
-        while self.held_bytes > self.limits.held_bytes and self.held_bytes > grown.size:
+        while not self.has_room(grown):
             victim = self.longest_stuck({Phase.READING, Phase.WRITING}, holding_bytes=True)
             if victim is None or victim is grown:
                 return False
             self.end(victim)
         return True
 
+    def has_room(self, grown: Holding) -> bool:
+        """Whether what a connection has just added may be held."""
+        if self.held_bytes <= self.allowed_bytes or self.held_bytes <= grown.size:
+            return True
+        is_small = grown.size <= SMALL_REQUEST_BYTES
+        return self.is_short and is_small and self.held_bytes <= self.limits.held_bytes
+
+    def relieve(self) -> None:
+        """Have those without progress give way while the process holds too much memory."""
+        self.sample_memory()
+        while self.is_short and self.held_bytes > self.allowed_bytes:
+            victim = self.longest_stuck({Phase.READING, Phase.WRITING}, holding_bytes=True)
+            if victim is None:
+                return
+            self.end(victim)
+
     def longest_stuck(
         self, phases: set[Phase] | frozenset[Phase], holding_bytes: bool = False
     ) -> Holding | None:
         """Holding in one of some phases that made no progress for longest, if there is one."""
-        found = [
-            holding
-            for holding in self.holdings
-            if holding.phase in phases and (holding.size or not holding_bytes)
-        ]
+        first = []
+        for phase in phases:
+            in_phase = self.by_phase[phase]
+            if holding_bytes:
+                first += [next((holding for holding in in_phase if holding.size), None)]
+            else:
+                first += [next(iter(in_phase), None)]
+        found = [holding for holding in first if holding is not None]
         return min(found, key=lambda holding: holding.progressed_at, default=None)
 
     def end(self, victim: Holding) -> None:
@@ -177,8 +294,5 @@
 
     def stuck_writers(self, before: float) -> list[Holding]:
         """Connections whose callers have read nothing of their answers since a loop time."""
-        return [
-            holding
-            for holding in self.holdings
-            if holding.phase is Phase.WRITING and holding.progressed_at < before
-        ]
+        writers = self.by_phase[Phase.WRITING]
+        return [holding for holding in writers if holding.progressed_at < before]
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -8,6 +8,7 @@
 from tornado.httpserver import HTTPServer
 
 from mimosahoist.core import json_log
+from mimosahoist.core.process_memory import KernelMemory
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.callers.intake import Intake, limits_of_machine
 from mimosahoist.forward.callers.servers import CallerServer, FrontendServer, StatusServer
@@ -128,7 +129,7 @@
         limits = limits_of_machine(settings.memory_bytes, settings.max_descriptors)
         self.fleet.receive_buffers.max_total_bytes = limits.receiving_bytes
         self.fleet.receive_buffers.sockets.maximum = limits.upstream_connections
-        self.frontend = CallerFrontend(self.dispatcher, Intake(limits))
+        self.frontend = CallerFrontend(self.dispatcher, Intake(limits, KernelMemory()))
         self.relay_dispatcher = RelayDispatcher(
             self.state_cache, self.engine, header_names, metrics, delegation
         )
@@ -224,6 +225,7 @@
             self.frontend.refuse_slow_headers(at)
             self.frontend.close_left_connections()
             self.frontend.close_stuck_writers(at)
+            self.frontend.intake.relieve()
             self.frontend.log_intake()
 
     async def monitor_reachability(self) -> None:
--- a/libs/forward/tests/test_intake.py
+++ b/libs/forward/tests/test_intake.py
@@ -5,7 +5,10 @@
 import random
 import unittest
 
+from mimosahoist.core.process_memory import KernelMemory, ProcessMemory
 from mimosahoist.forward.callers.intake import (
+    MIN_STUCK_SECONDS,
+    SMALL_REQUEST_BYTES,
     Holding,
     Intake,
     IntakeLimits,
@@ -113,6 +116,29 @@
             self.assertLessEqual(len(sizes), LIMITS.caller_connections)
             self.assertLessEqual(self.intake.held_bytes, max(LIMITS.held_bytes, *sizes, 0))
 
+    def test_connection_that_has_just_come_does_not_give_way_to_a_new_one(self) -> None:
+        for number in range(10):
+            self.open(f"c{number}", 1.0)
+        self.assertIsNone(self.open("early", 1.0 + MIN_STUCK_SECONDS / 2))
+        self.assertEqual(self.ended, [])
+        self.assertIsNotNone(self.open("later", 1.0 + MIN_STUCK_SECONDS))
+        self.assertEqual(self.ended, ["c0"])
+
+    def test_heaviest_request_that_waits_gives_way_and_ordinary_ones_never_do(self) -> None:
+        for number in range(10):
+            self.open(f"c{number}", 0.0).wait(40 if number != 7 else 2230, 1.0)
+        self.assertIsNotNone(self.open("new", 2.0))
+        self.assertEqual(self.ended, ["c7"])
+        next(reversed(self.intake.by_phase[Phase.NEW])).wait(40, 2.0)
+        self.assertIsNone(self.open("newer", 3.0))
+
+    def test_order_of_progress_is_kept_whatever_the_order_of_times(self) -> None:
+        times = [5.0, 1.0, 7.0, 3.0]
+        for at in times:
+            self.reading(str(at), 10, at)
+        ordered = [holding.progressed_at for holding in self.intake.by_phase[Phase.READING]]
+        self.assertEqual(ordered, sorted(times))
+
     def test_limits_leave_room_for_the_process_on_any_machine(self) -> None:
         for memory_mb, descriptors in ((100, 460), (200, 4100), (300, 4100), (552, 10250)):
             limits = limits_of_machine(memory_mb << 20, descriptors)
@@ -121,3 +147,78 @@
             held = limits.held_bytes + limits.receiving_bytes
             self.assertLess(held + (48 << 20), memory_mb << 20)
         self.assertEqual(limits_of_machine(0, 0), limits_of_machine(256 << 20, 1024))
+
+
+MEGABYTE = 1 << 20
+
+
+class FakeMemory(ProcessMemory):
+    """A process that holds what a test says, and all that callers hold."""
+
+    def __init__(self) -> None:
+        self.other_bytes = 50 * MEGABYTE
+        self.intake: Intake | None = None
+
+    def resident_bytes(self) -> int:
+        return self.other_bytes + self.intake.held_bytes
+
+
+class MemoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.memory = FakeMemory()
+        limits = IntakeLimits(100, 100, 40 * MEGABYTE, MEGABYTE, 80 * MEGABYTE)
+        self.intake = Intake(limits, self.memory)
+        self.memory.intake = self.intake
+        self.ended: list[str] = []
+
+    def read(self, name: str, size: int, at: float = 1.0) -> bool:
+        holding = self.intake.open(at, lambda: self.ended.append(name))
+        holding.enter(Phase.READING, at)
+        if holding.add(size, at):
+            holding.enter(Phase.SERVING, at)
+            return True
+        holding.close()
+        return False
+
+    def test_memory_of_the_process_bounds_what_callers_hold_whatever_filled_it(self) -> None:
+        self.memory.other_bytes = 70 * MEGABYTE
+        taken = sum(self.read(str(number), MEGABYTE) for number in range(30))
+        self.assertLessEqual(self.memory.resident_bytes(), 80 * MEGABYTE)
+        self.assertGreater(taken, 5)
+
+    def test_small_requests_are_taken_while_the_memory_is_short(self) -> None:
+        self.memory.other_bytes = 95 * MEGABYTE
+        self.assertTrue(self.read("first", MEGABYTE))
+        self.assertFalse(self.read("second", MEGABYTE))
+        for number in range(20):
+            self.assertTrue(self.read(f"small {number}", SMALL_REQUEST_BYTES // 4))
+
+    def test_single_request_is_taken_in_calm_however_short_the_memory_is(self) -> None:
+        self.memory.other_bytes = 200 * MEGABYTE
+        self.intake.sample_memory()
+        self.assertTrue(self.read("single", 30 * MEGABYTE))
+
+    def test_requests_are_taken_again_once_the_memory_is_free(self) -> None:
+        self.memory.other_bytes = 95 * MEGABYTE
+        self.assertTrue(self.read("first", MEGABYTE))
+        self.assertFalse(self.read("second", MEGABYTE))
+        self.memory.other_bytes = 50 * MEGABYTE
+        self.intake.relieve()
+        self.assertTrue(self.read("third", 20 * MEGABYTE))
+
+    def test_unfinished_requests_give_way_when_something_else_fills_the_memory(self) -> None:
+        for number in range(10):
+            at = float(number)
+            holding = self.intake.open(at, lambda name=number: self.ended.append(name))
+            holding.enter(Phase.READING, at)
+            self.assertTrue(holding.add(2 * MEGABYTE, at))
+        self.memory.other_bytes = 70 * MEGABYTE
+        self.intake.relieve()
+        self.assertEqual(self.ended, [0, 1, 2, 3, 4])
+        self.assertLessEqual(self.memory.resident_bytes(), 80 * MEGABYTE)
+
+    def test_kernel_tells_the_memory_of_this_process(self) -> None:
+        before = KernelMemory().resident_bytes()
+        filled = bytearray(b"x" * (32 * MEGABYTE))
+        self.assertGreater(KernelMemory().resident_bytes() - before, 16 * MEGABYTE)
+        self.assertEqual(len(filled), 32 * MEGABYTE)
