--- a/libs/forward/src/mimosahoist/forward/callers/stream.py
+++ b/libs/forward/src/mimosahoist/forward/callers/stream.py
@@ -8,13 +8,13 @@
 
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
-from mimosahoist.forward.callers.turns import Account
+from mimosahoist.forward.callers.turns import Account, request_cost
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Awaitable
 
-    from mimosahoist.forward.callers.turns import Turns
+    from mimosahoist.forward.callers.turns import RequestCost, Turns
 
 # What is read of a connection before others have their turn.
 READ_CHUNK_BYTES = 16 << 10
@@ -38,6 +38,10 @@
     def turns(self) -> Turns:
         """Order in which requests of all connections are taken on."""
 
+    @abstractmethod
+    def record_waiting(self, stream: CallerStream, cost: RequestCost) -> None:
+        """Note that a request waits for its turn."""
+
     @abstractmethod
     def record_head_too_large(self) -> None:
         """Count a head that was refused."""
@@ -66,7 +70,11 @@
             If the caller has left.
         """
         head = await super().read_until_regex(regex, self.limits.max_head_bytes)
-        await self.limits.turns.wait(self.account, head.count(b"\n"), self.has_unread_bytes)
+        cost = request_cost(head, self.has_unread_bytes)
+        turns = self.limits.turns
+        if not turns.take_now(cost, self.account):
+            self.limits.record_waiting(self, cost)
+            await turns.wait(cost, self.account)
         if self.has_unread_bytes and self.peer_has_closed():
             self.close()
         if self.closed():
@@ -82,10 +90,16 @@
             except StreamClosedError:
                 pass
         super().close(exc_info)
+        self.limits.turns.abandon(self.account)
+
+    @property
+    def hides_close(self) -> bool:
+        """Whether nothing is read from the connection, so that its close goes unnoticed."""
+        return self.account.turn is not None or self.has_unread_bytes
 
     @property
     def has_unread_bytes(self) -> bool:
-        """Whether bytes of the caller wait to be read, so that its close goes unnoticed."""
+        """Whether bytes of the caller wait to be read."""
         return self._read_buffer_size > 0
 
     def peer_has_closed(self) -> bool:
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -26,6 +26,7 @@
     from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
     from tornado.iostream import IOStream
 
+    from mimosahoist.forward.callers.turns import RequestCost
     from mimosahoist.forward.dispatcher import Dispatcher
 
 TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -67,6 +68,10 @@
         """Order in which requests of all connections are taken on."""
         return self.request_turns
 
+    def record_waiting(self, stream: CallerStream, cost: RequestCost) -> None:
+        """Note that a request waits for its turn."""
+        self.holding(stream).wait(cost.weighted_lines, now())
+
     def record_head_too_large(self) -> None:
         """Count a head that was refused."""
         self.dispatcher.metrics.count(f"answers_{STATUS_HEADERS_TOO_LARGE}")
@@ -112,15 +117,14 @@
                 total = written_bytes(stream)
                 if total != self.written.get(stream):
                     self.written[stream] = total
-                    holding.progressed_at = at
+                    holding.progress(at)
         for holding in self.intake.stuck_writers(at - self.dispatcher.limits.idle_timeout):
             self.intake.end(holding)
 
     def close_left_connections(self) -> None:
-        """Close connections whose callers have left, though bytes sent ahead hide their close."""
-        for stream, holding in list(self.holdings.items()):
-            is_hidden = holding.phase is Phase.SERVING and isinstance(stream, CallerStream)
-            if is_hidden and stream.has_unread_bytes and stream.peer_has_closed():
+        """Close connections whose callers have left while nothing was read from them."""
+        for stream in list(self.holdings):
+            if isinstance(stream, CallerStream) and stream.hides_close and stream.peer_has_closed():
                 stream.close()
 
     def log_intake(self) -> None:
--- a/libs/forward/tests/test_turns.py
+++ b/libs/forward/tests/test_turns.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from mimosahoist.forward.callers.turns import REQUEST_LINES, Account, Turns
+from mimosahoist.forward.callers.turns import REQUEST_LINES, Account, Turns, request_cost
 from mimosahoist.lab.paused_loop import PausedTestCase
 
 ORDINARY_LINES = 10
@@ -19,8 +19,10 @@
     async def request(
         self, name: str, lines: int, account: Account | None = None, ahead: bool = False
     ) -> None:
-        await self.turns.wait(account or Account(), lines, ahead)
-        self.taken.append(name)
+        account = account or Account()
+        cost = request_cost(lines * b"\n", ahead)
+        if self.turns.take_now(cost, account) or await self.turns.wait(cost, account):
+            self.taken.append(name)
 
     async def send_ahead(self, name: str, count: int, lines: int = ORDINARY_LINES) -> None:
         account = Account()
@@ -28,9 +30,7 @@
             await self.request(f"{name}.{number}", lines, account, ahead=True)
 
     async def test_request_in_calm_is_taken_on_at_once(self) -> None:
-        coroutine = self.turns.wait(Account(), ORDINARY_LINES, False)
-        with self.assertRaises(StopIteration):
-            coroutine.send(None)
+        self.assertTrue(self.turns.take_now(request_cost(ORDINARY_LINES * b"\n", False), Account()))
 
     async def test_ordinary_request_passes_a_crowd_of_heads_of_very_many_fields(self) -> None:
         crowd = [asyncio.create_task(self.request(f"c{n}", HEAVY_LINES)) for n in range(50)]
@@ -75,10 +75,19 @@
         await asyncio.gather(heavy, waiting, *ordinary)
         self.assertLess(self.taken.index("waiting"), 1000)
 
-    async def test_caller_that_leaves_while_it_waits_holds_up_nobody(self) -> None:
-        crowd = [asyncio.create_task(self.request(f"c{n}", HEAVY_LINES)) for n in range(5)]
+    async def test_callers_that_leave_while_they_wait_hold_up_nobody_and_are_forgotten(
+        self,
+    ) -> None:
+        stays = [asyncio.create_task(self.request(f"c{n}", HEAVY_LINES)) for n in range(2)]
+        accounts = [Account() for _ in range(500)]
+        leaves = [
+            asyncio.create_task(self.request("left", HEAVY_LINES, account)) for account in accounts
+        ]
         await asyncio.sleep(0)
-        crowd[3].cancel()
+        for account in accounts:
+            self.turns.abandon(account)
+        self.assertLess(len(self.turns.heap), 100)
         await self.request("ordinary", ORDINARY_LINES)
-        await asyncio.gather(*crowd, return_exceptions=True)
-        self.assertEqual(len(self.taken), 5)
+        await asyncio.gather(*stays, *leaves)
+        self.assertEqual(sorted(self.taken), ["c0", "c1", "ordinary"])
+        self.assertEqual(self.turns.waiting_count, 0)
