Requests with large bodies leave room to others

Cause: a search sends its body to every shard: 2.6 MB in that case. All that had come in were begun at once, until upstream connections and processor were taken up, and hardly any of them, ordinary ones among them, ended in time.

Change: requests with bodies beyond 32 KB pass a lane (callers/bulk.py) in which 16 MB at most, bodies times shards, are on their way at once. Beyond it they wait 250 ms in order, and are then rejected before anything is begun.

--- a/libs/forward/src/mimosahoist/forward/callers/message.py
+++ b/libs/forward/src/mimosahoist/forward/callers/message.py
@@ -14,6 +14,7 @@
 from mimosahoist.core.decimal_text import parse_integer
 from mimosahoist.core.tasks import now
 from mimosahoist.forward.admission.validation import Refusal
+from mimosahoist.forward.callers.bulk import SMALL_BODY_BYTES
 from mimosahoist.forward.callers.intake import FIELD_BYTES, Phase
 from mimosahoist.forward.connection import write_message
 from mimosahoist.forward.delegation import (
@@ -42,6 +43,7 @@
     from tornado.iostream import IOStream
 
     from mimosahoist.core.tasks import TaskSet
+    from mimosahoist.forward.callers.bulk import BulkLane
     from mimosahoist.forward.callers.intake import Holding, Intake
     from mimosahoist.forward.dispatcher import Dispatcher
 
@@ -55,6 +57,7 @@
 # The request was passed on and may have run.
 ENDED_BY_STOP = Failed("this instance stops before the answer has come", timed_out=True)
 ENDED_BY_ERROR = Failed("an internal error ended the request, which may have run")
+TOO_MANY_LARGE_BODIES = NotRun("too many requests with large bodies are being served", 0.5)
 MAX_LOGGED_ERROR_CHARACTERS = 200
 # Seconds in which a crowd that takes up an instance's memory makes way.
 RETRY_AFTER_CROWD = "0.500"
@@ -76,6 +79,8 @@
         Number of requests that were read and not yet answered.
     intake : Intake
         Bounds on what callers hold together.
+    bulk_lane : BulkLane
+        Bounds on what is being sent for requests with large bodies.
     written : WeakKeyDictionary
         Bytes that callers have taken, by connection, as of the last look.
     """
@@ -85,6 +90,7 @@
     ending: bool
     open_requests: int
     intake: Intake
+    bulk_lane: BulkLane
     tasks: TaskSet
     active_connections: WeakSet[HTTP1ServerConnection]
     written: WeakKeyDictionary[IOStream, int]
@@ -209,9 +215,7 @@
         body = bytes(self.body)
         self.body = bytearray()
         try:
-            outcome = await dispatcher.dispatch(
-                self.start_line.method, self.start_line.path, self.headers, body
-            )
+            outcome = await self.dispatch(body)
         except asyncio.CancelledError:
             if self.frontend.ending:
                 outcome = ENDED_BY_STOP
@@ -229,6 +233,20 @@
             self.log_error(error)
             self.write_outcome(ENDED_BY_ERROR)
 
+    async def dispatch(self, body: bytes) -> RequestOutcome | Refusal:
+        """Dispatch the request, through the bulk lane if its body is large."""
+        dispatcher = self.frontend.dispatcher
+        method, target = self.start_line.method, self.start_line.path
+        if len(body) <= SMALL_BODY_BYTES:
+            return await dispatcher.dispatch(method, target, self.headers, body)
+        size = len(body) * dispatcher.upstreams_called(target, self.headers)
+        if not await self.frontend.bulk_lane.enter(size):
+            return TOO_MANY_LARGE_BODIES
+        try:
+            return await dispatcher.dispatch(method, target, self.headers, body)
+        finally:
+            self.frontend.bulk_lane.leave(size)
+
     def log_error(self, error: Exception) -> None:
         """Log an error for which no outcome of a request is provided."""
         json_log.info(
--- a/libs/forward/src/mimosahoist/forward/dispatcher.py
+++ b/libs/forward/src/mimosahoist/forward/dispatcher.py
@@ -102,6 +102,12 @@
         routes = self.state_cache.routes
         return routes.configuration.limits if routes is not None else CallerLimits()
 
+    def upstreams_called(self, target: str, headers: HTTPHeaders) -> int:
+        """Number of upstreams that a request is sent to at first."""
+        routes = self.state_cache.routes
+        route = routes.find(headers.get("Host", ""), target) if routes is not None else None
+        return max(1, len(route.shards)) if route is not None else 1
+
     async def dispatch(
         self, method: str, target: str, headers: HTTPHeaders, body: bytes
     ) -> RequestOutcome | Refusal:
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -10,6 +10,7 @@
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
+from mimosahoist.forward.callers.bulk import BulkLane
 from mimosahoist.forward.callers.intake import Holding, Intake, Phase, limits_of_machine
 from mimosahoist.forward.callers.message import (
     STATUS_HEADERS_TOO_LARGE,
@@ -46,6 +47,7 @@
         self.dispatcher = dispatcher
         self.intake = intake or Intake(limits_of_machine(0, 0))
         self.request_turns = Turns()
+        self.bulk_lane = BulkLane()
         self.holdings: WeakKeyDictionary[IOStream, Holding] = WeakKeyDictionary()
         self.written: WeakKeyDictionary[IOStream, int] = WeakKeyDictionary()
         self.draining = False
