Bytes of callers that are not read yet are bounded

Callers saw: nothing yet; a connection whose request is being served isn't read, and the kernel took up to some megabytes more of each. Where received bytes count toward the machine's memory, 1,560 such connections exceed it.

Change: the receive buffers of all callers' connections together get a tenth of the memory (the kernel keeps twice of it), 8 to 64 KB each. A caller within the limits waits a few round trips more for a body of the largest size. The log says when memory for callers is short and when it is not any more.

Evidence: test_bytes_that_are_not_read_yet_are_bounded_for_each_connection (new; it can't be built on the code before).

--- a/libs/forward/src/mimosahoist/forward/callers/intake.py
+++ b/libs/forward/src/mimosahoist/forward/callers/intake.py
@@ -41,6 +41,11 @@
 HEAVY_REQUEST_LINES = 400
 # Beyond this share of the memory, callers may hold no more than they do.
 RESIDENT_MEMORY_SHARE = 0.75
+# What all connections' bytes may take that are received and not read yet. The kernel keeps twice
+# the size that a socket is given.
+UNREAD_MEMORY_SHARE = 0.1
+MIN_UNREAD_BYTES = 8 << 10
+MAX_UNREAD_BYTES = 64 << 10
 # The process's memory is looked at again after so many further bytes of callers.
 SAMPLE_BYTES = 512 << 10
 # A connection is not ended for a new one before it has been without progress for so long.
@@ -62,6 +67,8 @@
         Responses of upstreams that are being received.
     resident_bytes : int
         Memory of the process beyond which callers may hold no more; 0 if it is not bounded.
+    unread_bytes : int
+        Bytes of one connection that the kernel keeps until they are read; 0 if it may decide.
     """
 
     caller_connections: int
@@ -69,6 +76,7 @@
     held_bytes: int
     receiving_bytes: int
     resident_bytes: int = 0
+    unread_bytes: int = 0
 
 
 def limits_of_machine(memory_bytes: int, descriptors: int) -> IntakeLimits:
@@ -76,12 +84,15 @@
     memory = memory_bytes or DEFAULT_MEMORY_BYTES
     sockets = max(MIN_DESCRIPTORS, (descriptors or DEFAULT_DESCRIPTORS) - RESERVED_DESCRIPTORS)
     receiving = min(MAX_RECEIVING_BYTES, int(RECEIVING_MEMORY_SHARE * memory))
+    connections = int(CALLERS_DESCRIPTOR_SHARE * sockets)
+    unread = int(UNREAD_MEMORY_SHARE * memory) // connections
     return IntakeLimits(
-        int(CALLERS_DESCRIPTOR_SHARE * sockets),
+        connections,
         int(UPSTREAMS_DESCRIPTOR_SHARE * sockets),
         max(MIN_HELD_BYTES, int(CALLERS_MEMORY_SHARE * (memory - BASE_MEMORY_BYTES))),
         max(MIN_RECEIVING_BYTES, receiving),
         int(RESIDENT_MEMORY_SHARE * memory),
+        min(MAX_UNREAD_BYTES, max(MIN_UNREAD_BYTES, unread)),
     )
 
 
--- a/libs/forward/src/mimosahoist/forward/callers/stream.py
+++ b/libs/forward/src/mimosahoist/forward/callers/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+import socket
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any
 
@@ -11,7 +12,6 @@
 from mimosahoist.forward.callers.turns import Account, request_cost
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Awaitable
 
     from mimosahoist.forward.callers.turns import RequestCost, Turns
@@ -33,6 +33,11 @@
     def max_head_bytes(self) -> int:
         """Largest head of a request, from its first byte to the end of the blank line."""
 
+    @property
+    @abstractmethod
+    def max_unread_bytes(self) -> int:
+        """Bytes that the kernel keeps for a connection until they are read; 0 for its own size."""
+
     @property
     @abstractmethod
     def turns(self) -> Turns:
@@ -52,6 +57,8 @@
 
     def __init__(self, raw: socket.socket, limits: HeadLimits) -> None:
         super().__init__(raw, read_chunk_size=READ_CHUNK_BYTES)
+        if limits.max_unread_bytes:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, limits.max_unread_bytes)
         self.limits = limits
         self.account = Account()
 
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -54,6 +54,7 @@
         self.ending = False
         self.open_requests = 0
         self.logged_gave_way = 0
+        self.logged_short = False
         self.readers: dict[IOStream, CallerMessageDelegate] = {}
         self.tasks = TaskSet()
         self.connections: WeakSet[HTTP1ServerConnection] = WeakSet()
@@ -65,6 +66,11 @@
         """Largest head of a request, by the configuration in force."""
         return self.dispatcher.limits.header_bytes
 
+    @property
+    def max_unread_bytes(self) -> int:
+        """Bytes that the kernel keeps for a connection until they are read."""
+        return self.intake.limits.unread_bytes
+
     @property
     def turns(self) -> Turns:
         """Order in which requests of all connections are taken on."""
@@ -130,7 +136,15 @@
                 stream.close()
 
     def log_intake(self) -> None:
-        """Log that connections had to give way since the last time."""
+        """Log that connections had to give way, or that memory is short, since the last time."""
+        if self.intake.is_short != self.logged_short:
+            self.logged_short = self.intake.is_short
+            json_log.info(
+                "memory for callers",
+                short=self.intake.is_short,
+                held_bytes=self.intake.held_bytes,
+                allowed_bytes=self.intake.allowed_bytes,
+            )
         gave_way = self.intake.gave_way
         if gave_way != self.logged_gave_way:
             json_log.info(
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import random
+import socket
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -328,6 +329,18 @@
         self.assertEqual(len(self.frontend.intake.holdings), 3)
         self.assertEqual(self.dispatcher.metrics.counters["connections_gave_way"], 2)
 
+    async def test_bytes_that_are_not_read_yet_are_bounded_for_each_connection(self) -> None:
+        bounded = IntakeLimits(3, 10, 6000, 1000, unread_bytes=8192)
+        self.frontend.intake = Intake(bounded)
+        self.upstream.script = lambda number: (30.0, answered("x"))
+        _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        writer.write(GET.format(path="/x/1", more="").encode() + bytes(1 << 20))
+        await asyncio.sleep(0.3)
+        self.assertGreater(writer.transport.get_write_buffer_size(), 900 << 10)
+
     async def test_body_that_stops_is_refused_as_not_run_for_one_that_is_sent(self) -> None:
         body = GET.format(path="/x/1", more="Content-Length: 990\r\n").encode()
         more = 5 * "".join(f"{number:x}:\r\n" for number in range(3))
