A chunk's line without an end isn't answered 431

Cause: the stream answered any read that could not be satisfied.

Evidence: test_chunk_line_without_end_is_not_taken_for_a_head_that_is_too_large failed before and passes.

--- a/libs/forward/src/mimosahoist/forward/callers/stream.py
+++ b/libs/forward/src/mimosahoist/forward/callers/stream.py
@@ -61,6 +61,7 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, limits.max_unread_bytes)
         self.limits = limits
         self.account = Account()
+        self.is_reading_head = False
 
     def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
         """Read the head of a request, up to the limit that is in force now."""
@@ -76,7 +77,9 @@
         StreamClosedError
             If the caller has left.
         """
+        self.is_reading_head = True
         head = await super().read_until_regex(regex, self.limits.max_head_bytes)
+        self.is_reading_head = False
         cost = request_cost(head, self.has_unread_bytes)
         turns = self.limits.turns
         if not turns.take_now(cost, self.account):
@@ -90,7 +93,8 @@
 
     def close(self, exc_info: Any = False) -> None:
         """Close the connection, with an answer if it is for a head that is too large."""
-        if isinstance(exc_info, UnsatisfiableReadError) and not self.closed():
+        is_unsatisfiable = isinstance(exc_info, UnsatisfiableReadError)
+        if is_unsatisfiable and self.is_reading_head and not self.closed():
             self.limits.record_head_too_large()
             try:
                 self.write(TOO_LARGE_RESPONSE)
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -184,6 +184,13 @@
         self.assertEqual(len(dropped), 1)
         self.assertEqual(self.frontend.open_requests, 0)
 
+    async def test_chunk_line_without_end_is_not_taken_for_a_head_that_is_too_large(self) -> None:
+        reader, writer = await self.connect()
+        head = GET.format(path="/x/1", more="Transfer-Encoding: chunked\r\n").encode()
+        writer.write(head + b"1" * 100)
+        self.assertNotIn(b" 431 ", await asyncio.wait_for(reader.read(), 2.0))
+        self.assertEqual(self.upstream.arrivals, [])
+
     async def test_closed_connections_are_not_kept(self) -> None:
         for server in (self.server, FrontendServer(self.frontend)):
             with self.subTest(type(server).__name__):
