Heads at the port between instances are bounded by the configuration

Callers saw: nothing; only instances reach that port. Heads of up to 1 MB were held there for each connection, 150 MB for a hundred.

Change: the limit is that of callers and 16 KB for the fields of a relayed request, as the configuration in force says, and 16 KB are read at a time.

--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -12,6 +12,7 @@
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.callers.intake import Intake, limits_of_machine
 from mimosahoist.forward.callers.servers import CallerServer, FrontendServer, StatusServer
+from mimosahoist.forward.callers.stream import READ_CHUNK_BYTES
 from mimosahoist.forward.delegation import Delegation
 from mimosahoist.forward.dispatcher import Dispatcher
 from mimosahoist.forward.domain_reachability import REACHABILITY_INTERVAL_SECONDS
@@ -46,8 +47,8 @@
 
 # `CallerFrontend` enforces the limits of the configuration itself.
 MAX_BODY_BYTES = 1 << 30
-# Relayed requests have more fields than those of callers.
-MAX_RELAYED_HEADER_BYTES = 1 << 20
+# Fields that a relayed request has beside those of its caller.
+RELAYED_FIELDS_BYTES = 16 << 10
 DRAIN_NOTICE_SECONDS = 2.5
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
@@ -135,6 +136,7 @@
         )
         self.relay_frontend = CallerFrontend(self.relay_dispatcher)
         self.servers: list[HTTPServer] = []
+        self.relay_server: FrontendServer | None = None
         self.draining = False
         self.can_serve = True
 
@@ -156,10 +158,12 @@
         if self.settings.relay_address:
             relay_server = FrontendServer(
                 self.relay_frontend,
-                max_header_size=MAX_RELAYED_HEADER_BYTES,
+                max_header_size=self.max_relayed_header_bytes,
                 max_body_size=MAX_BODY_BYTES,
+                chunk_size=READ_CHUNK_BYTES,
             )
             listen_on(relay_server, self.settings.relay_address)
+            self.relay_server = relay_server
             self.servers.append(relay_server)
         for address in (self.settings.readiness_address, self.settings.metrics_address):
             server = StatusServer(status_service)
@@ -171,6 +175,11 @@
         self.tasks.keep_running(self.log_repeat_usage, "log repeat budgets")
         json_log.info("listening", address=self.settings.callers_address)
 
+    @property
+    def max_relayed_header_bytes(self) -> int:
+        """Largest head of a request that another instance relays."""
+        return self.dispatcher.limits.header_bytes + RELAYED_FIELDS_BYTES
+
     def has_organisations(self) -> bool:
         """Whether the configuration in force declares organisations."""
         routes = self.state_cache.routes
@@ -184,6 +193,8 @@
             if self.state_cache.routes is not None:
                 self.engine.gate.configure(self.state_cache.routes.configuration)
             self.caller_server.conn_params.header_timeout = self.dispatcher.limits.idle_timeout
+            if self.relay_server is not None:
+                self.relay_server.conn_params.max_header_size = self.max_relayed_header_bytes
 
     async def log_counters(self) -> None:
         """Log all counters periodically, so that rates can be derived from the log alone."""
