Memory that a crowd leaves unused is given back

Callers saw: after a crowd had left, an instance could go on refusing large requests for good: its memory stayed above three quarters although nothing was held (75 MB of 100 for as long as was watched).

Cause: freed pages stay with the C library's heap, and what the kernel counts doesn't fall.

Change: while memory is short, garbage is collected and the heap trimmed, every two seconds at most; callers may always hold a twentieth of the memory together.

--- a/libs/forward/src/mimosahoist/forward/callers/intake.py
+++ b/libs/forward/src/mimosahoist/forward/callers/intake.py
@@ -41,6 +41,7 @@
 HEAVY_REQUEST_LINES = 400
 # Beyond this share of the memory, callers may hold no more than they do.
 RESIDENT_MEMORY_SHARE = 0.75
+MIN_HELD_SHARE = 0.05
 # What all connections' bytes may take that are received and not read yet. The kernel keeps twice
 # the size that a socket is given.
 UNREAD_MEMORY_SHARE = 0.1
@@ -50,6 +51,8 @@
 SAMPLE_BYTES = 512 << 10
 # A connection is not ended for a new one before it has been without progress for so long.
 MIN_STUCK_SECONDS = 0.05
+# Unused memory is given back no more often, since that holds up all requests.
+RELEASE_INTERVAL_SECONDS = 2.0
 # Requests of this size are taken while the memory is short.
 SMALL_REQUEST_BYTES = 64 << 10
 
@@ -67,6 +70,8 @@
         Responses of upstreams that are being received.
     resident_bytes : int
         Memory of the process beyond which callers may hold no more; 0 if it is not bounded.
+    min_held_bytes : int
+        What callers may always hold together, whatever fills the memory.
     unread_bytes : int
         Bytes of one connection that the kernel keeps until they are read; 0 if it may decide.
     """
@@ -76,6 +81,7 @@
     held_bytes: int
     receiving_bytes: int
     resident_bytes: int = 0
+    min_held_bytes: int = 0
     unread_bytes: int = 0
 
 
@@ -92,6 +98,7 @@
         max(MIN_HELD_BYTES, int(CALLERS_MEMORY_SHARE * (memory - BASE_MEMORY_BYTES))),
         max(MIN_RECEIVING_BYTES, receiving),
         int(RESIDENT_MEMORY_SHARE * memory),
+        int(MIN_HELD_SHARE * memory),
         min(MAX_UNREAD_BYTES, max(MIN_UNREAD_BYTES, unread)),
     )
 
@@ -200,6 +207,7 @@
         self.allowed_bytes = limits.held_bytes
         self.is_short = False
         self.unsampled_bytes = 0
+        self.release_at = 0.0
         self.gave_way = 0
 
     def open(self, at: float, give_way: Callable[[], None]) -> Holding | None:
@@ -256,7 +264,8 @@
             return
         room = self.limits.resident_bytes - resident
         self.is_short = room <= 0
-        self.allowed_bytes = max(0, min(self.limits.held_bytes, self.held_bytes + room))
+        allowed = max(self.limits.min_held_bytes, self.held_bytes + room)
+        self.allowed_bytes = min(self.limits.held_bytes, allowed)
 
     def make_room(self, grown: Holding) -> bool:
         """Have holdings give way until the bytes are within their limit; whether they are."""
@@ -274,9 +283,16 @@
         is_small = grown.size <= SMALL_REQUEST_BYTES
         return self.is_short and is_small and self.held_bytes <= self.limits.held_bytes
 
-    def relieve(self) -> None:
-        """Have those without progress give way while the process holds too much memory."""
+    def relieve(self, at: float) -> None:
+        """Have those without progress give way while the process holds too much memory.
+
+        A crowd that has left leaves free memory behind, which is given back first.
+        """
         self.sample_memory()
+        if self.is_short and at >= self.release_at:
+            self.release_at = at + RELEASE_INTERVAL_SECONDS
+            self.memory.release_unused()
+            self.sample_memory()
         while self.is_short and self.held_bytes > self.allowed_bytes:
             victim = self.longest_stuck({Phase.READING, Phase.WRITING}, holding_bytes=True)
             if victim is None:
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -236,7 +236,7 @@
             self.frontend.refuse_slow_headers(at)
             self.frontend.close_left_connections()
             self.frontend.close_stuck_writers(at)
-            self.frontend.intake.relieve()
+            self.frontend.intake.relieve(at)
             self.frontend.log_intake()
 
     async def monitor_reachability(self) -> None:
--- a/libs/forward/tests/test_intake.py
+++ b/libs/forward/tests/test_intake.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from mimosahoist.core.process_memory import KernelMemory, ProcessMemory
 from mimosahoist.forward.callers.intake import (
@@ -157,10 +158,14 @@
 
     def __init__(self) -> None:
         self.other_bytes = 50 * MEGABYTE
+        self.unused_bytes = 0
         self.intake: Intake | None = None
 
     def resident_bytes(self) -> int:
-        return self.other_bytes + self.intake.held_bytes
+        return self.other_bytes + self.unused_bytes + self.intake.held_bytes
+
+    def release_unused(self) -> None:
+        self.unused_bytes = 0
 
 
 class MemoryTest(unittest.TestCase):
@@ -203,9 +208,34 @@
         self.assertTrue(self.read("first", MEGABYTE))
         self.assertFalse(self.read("second", MEGABYTE))
         self.memory.other_bytes = 50 * MEGABYTE
-        self.intake.relieve()
+        self.intake.relieve(10.0)
         self.assertTrue(self.read("third", 20 * MEGABYTE))
 
+    def test_memory_that_a_crowd_left_unused_is_given_back(self) -> None:
+        self.memory.unused_bytes = 40 * MEGABYTE
+        self.intake.sample_memory()
+        self.assertTrue(self.intake.is_short)
+        self.intake.relieve(10.0)
+        self.assertFalse(self.intake.is_short)
+        self.assertTrue(self.read("first", 10 * MEGABYTE))
+        self.assertTrue(self.read("second", 10 * MEGABYTE))
+
+    def test_unused_memory_is_given_back_at_intervals_only(self) -> None:
+        released: list[float] = []
+        self.memory.other_bytes = 90 * MEGABYTE
+        with mock.patch.object(self.memory, "release_unused") as release:
+            for tick in range(40):
+                self.intake.relieve(10.0 + tick / 4)
+                released += [tick / 4] * (release.call_count - len(released))
+        self.assertEqual(released, [0.0, 2.0, 4.0, 6.0, 8.0])
+
+    def test_a_few_large_requests_are_taken_however_short_the_memory_stays(self) -> None:
+        self.intake.limits = self.intake.limits._replace(min_held_bytes=4 * MEGABYTE)
+        self.memory.other_bytes = 85 * MEGABYTE
+        self.intake.relieve(10.0)
+        taken = [self.read(str(number), MEGABYTE) for number in range(8)]
+        self.assertEqual(taken, [True] * 4 + [False] * 4)
+
     def test_unfinished_requests_give_way_when_something_else_fills_the_memory(self) -> None:
         for number in range(10):
             at = float(number)
@@ -213,7 +243,7 @@
             holding.enter(Phase.READING, at)
             self.assertTrue(holding.add(2 * MEGABYTE, at))
         self.memory.other_bytes = 70 * MEGABYTE
-        self.intake.relieve()
+        self.intake.relieve(10.0)
         self.assertEqual(self.ended, [0, 1, 2, 3, 4])
         self.assertLessEqual(self.memory.resident_bytes(), 80 * MEGABYTE)
 
