New connections wait their turn when others must give way to them

Callers saw: beside crowds of all kinds that connect again as soon as they are closed, and with the machine's processors taken up, an ordinary request was reset 30 times and more in a row; test_crowds_of_all_kinds_at_once failed twice (30 s without an answer).

Cause: a connection could be ended after 50 ms, in which a busy instance looks at none, and each new one ended another: 41,800 in a minute. tornado accepts up to 128 at a time whatever room there is, so that the others were refused at once and came again.

Change: connections give way by a token bucket, all of them four times a second at most. While it is empty, or those that could give way have just come, nothing is accepted: new ones wait with the kernel in the order in which they came. Where none could give way, a new one is refused at once, as before. The counters tell what those that gave way were doing.

--- a/libs/forward/src/mimosahoist/forward/callers/intake.py
+++ b/libs/forward/src/mimosahoist/forward/callers/intake.py
@@ -51,6 +51,8 @@
 SAMPLE_BYTES = 512 << 10
 # A connection is not ended for a new one before it has been without progress for so long.
 MIN_STUCK_SECONDS = 0.05
+# How often a second all connections may be replaced by new ones.
+TURNOVERS_PER_SECOND = 4.0
 # Unused memory is given back no more often, since that holds up all requests.
 RELEASE_INTERVAL_SECONDS = 2.0
 # Requests of this size are taken while the memory is short.
@@ -118,6 +120,38 @@
 UNFINISHED_PHASES = frozenset((Phase.NEW, Phase.READING, Phase.WRITING))
 
 
+class Entry(enum.Enum):
+    """What becomes of a new connection."""
+
+    FREE = "taken"
+    IN_PLACE_OF_ANOTHER = "taken, and another one gives way"
+    LATER = "has to wait, so that those before it have their chance"
+    REFUSED = "refused, as none can give way"
+
+
+class Turnover:
+    """Limits how often connections give way to new ones, as a token bucket.
+
+    Answers crowds that connect again as soon as they are closed: without it they end each other,
+    and ordinary connections with them, before any request has been read.
+    """
+
+    def __init__(self, connections: int) -> None:
+        self.tokens = self.max_tokens = float(connections)
+        self.updated_at = 0.0
+
+    def allows(self, at: float) -> bool:
+        """Whether a connection may give way at a loop time."""
+        gained = (at - self.updated_at) * TURNOVERS_PER_SECOND * self.max_tokens
+        self.tokens = min(self.max_tokens, self.tokens + max(0.0, gained))
+        self.updated_at = at
+        return self.tokens >= 1.0
+
+    def take(self) -> None:
+        """Count a connection that gives way."""
+        self.tokens -= 1.0
+
+
 class Holding:
     """What is held for one connection.
 
@@ -206,31 +240,42 @@
         self.held_bytes = 0
         self.allowed_bytes = limits.held_bytes
         self.is_short = False
+        self.turnover = Turnover(limits.caller_connections)
         self.unsampled_bytes = 0
         self.release_at = 0.0
         self.gave_way = 0
 
+    def look(self, at: float) -> Entry:
+        """Whether a new connection may be taken, and whether another has to give way to it."""
+        if len(self.holdings) < self.limits.caller_connections:
+            return Entry.FREE
+        victim = self.victim_for_connection()
+        if victim is None:
+            return Entry.REFUSED
+        if victim.progressed_at > at - MIN_STUCK_SECONDS or not self.turnover.allows(at):
+            return Entry.LATER
+        return Entry.IN_PLACE_OF_ANOTHER
+
     def open(self, at: float, give_way: Callable[[], None]) -> Holding | None:
         """Take a connection, for which another one may have to give way; None if none can."""
-        if len(self.holdings) >= self.limits.caller_connections:
-            victim = self.victim_for_connection(at - MIN_STUCK_SECONDS)
-            if victim is None:
-                return None
-            self.end(victim)
+        entry = self.look(at)
+        if entry in (Entry.REFUSED, Entry.LATER):
+            return None
+        if entry is Entry.IN_PLACE_OF_ANOTHER:
+            self.turnover.take()
+            self.end(self.victim_for_connection())
         holding = Holding(self, at, give_way)
         self.holdings.add(holding)
         holding.progress(at)
         return holding
 
-    def victim_for_connection(self, before: float) -> Holding | None:
-        """Connection without progress since a loop time that gives way to a new one."""
-        candidates = (
-            self.longest_stuck(UNFINISHED_PHASES),
-            self.heaviest_waiting(),
-            self.longest_stuck({Phase.IDLE}),
+    def victim_for_connection(self) -> Holding | None:
+        """Connection that gives way to a new one, if one can."""
+        return (
+            self.longest_stuck(UNFINISHED_PHASES)
+            or self.heaviest_waiting()
+            or self.longest_stuck({Phase.IDLE})
         )
-        found = (item for item in candidates if item is not None and item.progressed_at <= before)
-        return next(found, None)
 
     def heaviest_waiting(self) -> Holding | None:
         """Connection whose request would take most processor time, if it is no ordinary one."""
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -11,7 +11,7 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.callers.bulk import BulkLane
-from mimosahoist.forward.callers.intake import Holding, Intake, Phase, limits_of_machine
+from mimosahoist.forward.callers.intake import Entry, Holding, Intake, Phase, limits_of_machine
 from mimosahoist.forward.callers.message import (
     STATUS_HEADERS_TOO_LARGE,
     STATUS_REQUEST_TIMEOUT,
@@ -84,6 +84,10 @@
         """Count a head that was refused."""
         self.dispatcher.metrics.count(f"answers_{STATUS_HEADERS_TOO_LARGE}")
 
+    def must_wait(self) -> bool:
+        """Whether a new connection has to wait until another may give way to it."""
+        return self.intake.look(now()) is Entry.LATER
+
     def open_connection(self, stream: IOStream) -> bool:
         """Take a new connection; return False if there is no room for it."""
         holding = self.intake.open(now(), lambda: self.give_way(stream))
@@ -113,6 +117,9 @@
     def give_way(self, stream: IOStream) -> None:
         """End a connection that makes no progress, so that others have room."""
         self.dispatcher.metrics.count("connections_gave_way")
+        holding = self.holdings.get(stream)
+        if holding is not None:
+            self.dispatcher.metrics.count(f"connections_gave_way_{holding.phase.name.lower()}")
         reader = self.readers.get(stream)
         if reader is not None and reader.is_incomplete:
             reader.refuse(STATUS_UNAVAILABLE)
--- a/libs/forward/tests/test_front.py
+++ b/libs/forward/tests/test_front.py
@@ -348,6 +348,16 @@
         await asyncio.sleep(0.3)
         self.assertGreater(writer.transport.get_write_buffer_size(), 900 << 10)
 
+    async def test_connection_that_has_to_wait_is_served_and_not_refused(self) -> None:
+        head = GET.format(path="/x/1", more="").encode()
+        for _ in range(4):
+            stuck = [await asyncio.open_connection("127.0.0.1", self.port) for _ in range(5)]
+            for _, writer in stuck:
+                self.addCleanup(writer.close)
+            reader = await self.connect(head)
+            line = await asyncio.wait_for(reader.readline(), 5.0)
+            self.assertIn(b" 200 ", line)
+
     async def test_body_that_stops_is_refused_as_not_run_for_one_that_is_sent(self) -> None:
         body = GET.format(path="/x/1", more="Content-Length: 990\r\n").encode()
         more = 5 * "".join(f"{number:x}:\r\n" for number in range(3))
--- a/libs/forward/tests/test_intake.py
+++ b/libs/forward/tests/test_intake.py
@@ -10,6 +10,8 @@
 from mimosahoist.forward.callers.intake import (
     MIN_STUCK_SECONDS,
     SMALL_REQUEST_BYTES,
+    TURNOVERS_PER_SECOND,
+    Entry,
     Holding,
     Intake,
     IntakeLimits,
@@ -125,6 +127,34 @@
         self.assertIsNotNone(self.open("later", 1.0 + MIN_STUCK_SECONDS))
         self.assertEqual(self.ended, ["c0"])
 
+    def test_connections_that_come_again_and_again_leave_time_to_those_before_them(self) -> None:
+        opened: dict[str, float] = {}
+        lives: list[float] = []
+        for step in range(20_000):
+            at = 1.0 + step / 1000
+            name = str(step)
+
+            def give_way(name: str = name) -> None:
+                lives.append(self.at - opened[name])
+
+            self.at = at
+            if self.intake.open(at, give_way) is not None:
+                opened[name] = at
+        # Those that were there at the start may all be replaced at once.
+        after_start = lives[2 * LIMITS.caller_connections :]
+        self.assertGreaterEqual(min(after_start), 0.9 / TURNOVERS_PER_SECOND)
+        turnovers = len(lives) / LIMITS.caller_connections / 20.0
+        self.assertAlmostEqual(turnovers, TURNOVERS_PER_SECOND, delta=0.2)
+
+    def test_new_connection_waits_or_is_refused_by_what_the_others_do(self) -> None:
+        for number in range(10):
+            self.open(f"c{number}", 1.0)
+        self.assertIs(self.intake.look(1.0), Entry.LATER)
+        self.assertIs(self.intake.look(2.0), Entry.IN_PLACE_OF_ANOTHER)
+        for holding in list(self.intake.holdings):
+            holding.enter(Phase.SERVING, 1.0)
+        self.assertIs(self.intake.look(2.0), Entry.REFUSED)
+
     def test_heaviest_request_that_waits_gives_way_and_ordinary_ones_never_do(self) -> None:
         for number in range(10):
             self.open(f"c{number}", 0.0).wait(40 if number != 7 else 2230, 1.0)
