--- a/libs/forward/src/mimosahoist/forward/callers/intake.py
+++ b/libs/forward/src/mimosahoist/forward/callers/intake.py
@@ -120,7 +120,7 @@
 UNFINISHED_PHASES = frozenset((Phase.NEW, Phase.READING, Phase.WRITING))
 
 
-class Entry(enum.Enum):
+class ConnectionDecision(enum.Enum):
     """What becomes of a new connection."""
 
     FREE = "taken"
@@ -245,23 +245,23 @@
         self.release_at = 0.0
         self.gave_way = 0
 
-    def look(self, at: float) -> Entry:
-        """Whether a new connection may be taken, and whether another has to give way to it."""
+    def decide_on_connection(self, at: float) -> ConnectionDecision:
+        """Decide whether a new connection is taken, and whether another gives way to it."""
         if len(self.holdings) < self.limits.caller_connections:
-            return Entry.FREE
+            return ConnectionDecision.FREE
         victim = self.victim_for_connection()
         if victim is None:
-            return Entry.REFUSED
+            return ConnectionDecision.REFUSED
         if victim.progressed_at > at - MIN_STUCK_SECONDS or not self.turnover.allows(at):
-            return Entry.LATER
-        return Entry.IN_PLACE_OF_ANOTHER
+            return ConnectionDecision.LATER
+        return ConnectionDecision.IN_PLACE_OF_ANOTHER
 
     def open(self, at: float, give_way: Callable[[], None]) -> Holding | None:
         """Take a connection, for which another one may have to give way; None if none can."""
-        entry = self.look(at)
-        if entry in (Entry.REFUSED, Entry.LATER):
+        decision = self.decide_on_connection(at)
+        if decision in (ConnectionDecision.REFUSED, ConnectionDecision.LATER):
             return None
-        if entry is Entry.IN_PLACE_OF_ANOTHER:
+        if decision is ConnectionDecision.IN_PLACE_OF_ANOTHER:
             self.turnover.take()
             self.end(self.victim_for_connection())
         holding = Holding(self, at, give_way)
--- a/libs/forward/src/mimosahoist/forward/callers/stream.py
+++ b/libs/forward/src/mimosahoist/forward/callers/stream.py
@@ -25,8 +25,16 @@
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
-class HeadLimits(ABC):
-    """What connections of callers need to know of the frontend that reads them."""
+class StreamOwner(ABC):
+    """What connections of callers need of the frontend that reads them.
+
+    Attributes
+    ----------
+    turns : Turns
+        Order in which requests of all connections are taken on.
+    """
+
+    turns: Turns
 
     @property
     @abstractmethod
@@ -38,11 +46,6 @@
     def max_unread_bytes(self) -> int:
         """Bytes that the kernel keeps for a connection until they are read; 0 for its own size."""
 
-    @property
-    @abstractmethod
-    def turns(self) -> Turns:
-        """Order in which requests of all connections are taken on."""
-
     @abstractmethod
     def record_waiting(self, stream: CallerStream, cost: RequestCost) -> None:
         """Note that a request waits for its turn."""
@@ -55,11 +58,11 @@
 class CallerStream(IOStream):
     """Stream of a caller's connection, for use with `HTTP1ServerConnection`."""
 
-    def __init__(self, raw: socket.socket, limits: HeadLimits) -> None:
+    def __init__(self, raw: socket.socket, owner: StreamOwner) -> None:
         super().__init__(raw, read_chunk_size=READ_CHUNK_BYTES)
-        if limits.max_unread_bytes:
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, limits.max_unread_bytes)
-        self.limits = limits
+        if owner.max_unread_bytes:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, owner.max_unread_bytes)
+        self.owner = owner
         self.account = Account()
         self.is_reading_head = False
 
@@ -78,12 +81,12 @@
             If the caller has left.
         """
         self.is_reading_head = True
-        head = await super().read_until_regex(regex, self.limits.max_head_bytes)
+        head = await super().read_until_regex(regex, self.owner.max_head_bytes)
         self.is_reading_head = False
         cost = request_cost(head, self.has_unread_bytes)
-        turns = self.limits.turns
+        turns = self.owner.turns
         if not turns.take_now(cost, self.account):
-            self.limits.record_waiting(self, cost)
+            self.owner.record_waiting(self, cost)
             await turns.wait(cost, self.account)
         if self.has_unread_bytes and self.peer_has_closed():
             self.close()
@@ -95,13 +98,13 @@
         """Close the connection, with an answer if it is for a head that is too large."""
         is_unsatisfiable = isinstance(exc_info, UnsatisfiableReadError)
         if is_unsatisfiable and self.is_reading_head and not self.closed():
-            self.limits.record_head_too_large()
+            self.owner.record_head_too_large()
             try:
                 self.write(TOO_LARGE_RESPONSE)
             except StreamClosedError:
                 pass
         super().close(exc_info)
-        self.limits.turns.abandon(self.account)
+        self.owner.turns.abandon(self.account)
 
     @property
     def hides_close(self) -> bool:
--- a/libs/forward/src/mimosahoist/forward/front.py
+++ b/libs/forward/src/mimosahoist/forward/front.py
@@ -11,7 +11,13 @@
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import TaskSet, now
 from mimosahoist.forward.callers.bulk import BulkLane
-from mimosahoist.forward.callers.intake import Entry, Holding, Intake, Phase, limits_of_machine
+from mimosahoist.forward.callers.intake import (
+    ConnectionDecision,
+    Holding,
+    Intake,
+    Phase,
+    limits_of_machine,
+)
 from mimosahoist.forward.callers.message import (
     STATUS_HEADERS_TOO_LARGE,
     STATUS_REQUEST_TIMEOUT,
@@ -20,7 +26,7 @@
     MessageOwner,
     written_bytes,
 )
-from mimosahoist.forward.callers.stream import CallerStream, HeadLimits
+from mimosahoist.forward.callers.stream import CallerStream, StreamOwner
 from mimosahoist.forward.callers.turns import Turns
 
 if TYPE_CHECKING:
@@ -34,7 +40,7 @@
 END_TIMEOUT_SECONDS = 0.2
 
 
-class CallerFrontend(MessageOwner, HeadLimits, HTTPServerConnectionDelegate):
+class CallerFrontend(MessageOwner, StreamOwner, HTTPServerConnectionDelegate):
     """Reads callers' requests and writes the responses.
 
     Attributes
@@ -46,7 +52,7 @@
     def __init__(self, dispatcher: Dispatcher, intake: Intake | None = None) -> None:
         self.dispatcher = dispatcher
         self.intake = intake or Intake(limits_of_machine(0, 0))
-        self.request_turns = Turns()
+        self.turns = Turns()
         self.bulk_lane = BulkLane()
         self.holdings: WeakKeyDictionary[IOStream, Holding] = WeakKeyDictionary()
         self.written: WeakKeyDictionary[IOStream, int] = WeakKeyDictionary()
@@ -71,11 +77,6 @@
         """Bytes that the kernel keeps for a connection until they are read."""
         return self.intake.limits.unread_bytes
 
-    @property
-    def turns(self) -> Turns:
-        """Order in which requests of all connections are taken on."""
-        return self.request_turns
-
     def record_waiting(self, stream: CallerStream, cost: RequestCost) -> None:
         """Note that a request waits for its turn."""
         self.holding(stream).wait(cost.weighted_lines, now())
@@ -86,7 +87,7 @@
 
     def must_wait(self) -> bool:
         """Whether a new connection has to wait until another may give way to it."""
-        return self.intake.look(now()) is Entry.LATER
+        return self.intake.decide_on_connection(now()) is ConnectionDecision.LATER
 
     def open_connection(self, stream: IOStream) -> bool:
         """Take a new connection; return False if there is no room for it."""
--- a/libs/forward/tests/test_intake.py
+++ b/libs/forward/tests/test_intake.py
@@ -11,7 +11,7 @@
     MIN_STUCK_SECONDS,
     SMALL_REQUEST_BYTES,
     TURNOVERS_PER_SECOND,
-    Entry,
+    ConnectionDecision,
     Holding,
     Intake,
     IntakeLimits,
@@ -149,11 +149,11 @@
     def test_new_connection_waits_or_is_refused_by_what_the_others_do(self) -> None:
         for number in range(10):
             self.open(f"c{number}", 1.0)
-        self.assertIs(self.intake.look(1.0), Entry.LATER)
-        self.assertIs(self.intake.look(2.0), Entry.IN_PLACE_OF_ANOTHER)
+        self.assertIs(self.intake.decide_on_connection(1.0), ConnectionDecision.LATER)
+        self.assertIs(self.intake.decide_on_connection(2.0), ConnectionDecision.IN_PLACE_OF_ANOTHER)
         for holding in list(self.intake.holdings):
             holding.enter(Phase.SERVING, 1.0)
-        self.assertIs(self.intake.look(2.0), Entry.REFUSED)
+        self.assertIs(self.intake.decide_on_connection(2.0), ConnectionDecision.REFUSED)
 
     def test_heaviest_request_that_waits_gives_way_and_ordinary_ones_never_do(self) -> None:
         for number in range(10):
