Lines about refused callers hide no other event

What operators saw: while a crowd was refused, lines such as 'settings changed' were missing. Cause: all lines share one rate of 100 a second, and each refusal writes one. Why it works: each event has a rate of its own, one a second and 20 at once, before it takes from the common one. Event names are constants of the code, and at most 256 are kept, so the sum is bounded.

--- a/libs/core/tests/test_json_log.py
+++ b/libs/core/tests/test_json_log.py
@@ -8,11 +8,11 @@
 import sys
 import unittest
 
-from mimosahoist.core.json_log import LogRateLimiter
+from mimosahoist.core.json_log import MAX_EVENTS, LogRateLimiter
 
 
-def make_record(at: float, level: int = logging.INFO) -> logging.LogRecord:
-    record = logging.LogRecord("x", level, "", 0, "event", None, None)
+def make_record(at: float, level: int = logging.INFO, event: str = "event") -> logging.LogRecord:
+    record = logging.LogRecord("x", level, "", 0, event, None, None)
     record.created = at
     return record
 
@@ -51,3 +51,17 @@
         limiter = LogRateLimiter(rate=10.0, burst=1.0)
         limiter.filter(make_record(100.0))
         self.assertFalse(limiter.filter(make_record(1.0)))
+
+    def test_lines_of_one_event_hide_no_other_event(self) -> None:
+        limiter = LogRateLimiter(rate=10.0, burst=5.0, event_rate=1.0, event_burst=2.0)
+        written = [limiter.filter(make_record(1.0, event="refused")) for _ in range(1000)]
+        self.assertEqual(sum(written), 7)
+        self.assertTrue(limiter.filter(make_record(1.0, event="store lost")))
+        written = [limiter.filter(make_record(2.0, event="refused")) for _ in range(1000)]
+        self.assertEqual(sum(written), 6)
+        self.assertTrue(limiter.filter(make_record(2.0, event="store lost")))
+
+    def test_number_of_events_with_lines_of_their_own_is_bounded(self) -> None:
+        limiter = LogRateLimiter(rate=0.0, burst=0.0, event_rate=1.0, event_burst=1.0)
+        written = [limiter.filter(make_record(1.0, event=str(name))) for name in range(10_000)]
+        self.assertEqual(sum(written), MAX_EVENTS)
