Requests sent ahead at the readiness port are bounded

What was seen: 60 callers that send 400 requests ahead each at the readiness port, do not read the answers and connect again brought a process of 100 MB to 108 and 121 MB within seconds. Cause, by reading: tornado reads all that has arrived, and goes on serving what it has read of a connection after that has given way; the crowd is back before that ends. No profile was taken. Why it works: these connections are read like callers', with heads, unread bytes and turns bounded, and nothing is begun on a closed one. The oldest gives way after 50 ms only and new ones wait with the kernel. Two tries were given up: a bound on turnovers with the default backlog, and giving way at once. In the first, test_connections_again_and_again_at_the_readiness_port did not end within 500 s, since the kernel dropped first packets; in the second none of 20 checks said ready.

--- a/libs/forward/src/mimosahoist/forward/callers/servers.py
+++ b/libs/forward/src/mimosahoist/forward/callers/servers.py
@@ -10,7 +10,10 @@
 from tornado.httpserver import HTTPServer
 
 from mimosahoist.core import json_log
-from mimosahoist.forward.callers.stream import CallerStream
+from mimosahoist.core.tasks import now
+from mimosahoist.forward.callers.intake import MIN_STUCK_SECONDS
+from mimosahoist.forward.callers.stream import CallerStream, StreamOwner, limit_unread_bytes
+from mimosahoist.forward.callers.turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -18,6 +21,7 @@
     from tornado.http1connection import HTTP1ServerConnection
     from tornado.iostream import IOStream
 
+    from mimosahoist.forward.callers.turns import RequestCost
     from mimosahoist.forward.front import CallerFrontend
 
 # Connections accepted before other work has its turn.
@@ -26,6 +30,9 @@
 MAX_STATUS_CONNECTIONS = 32
 MAX_STATUS_HEADER_BYTES = 16 << 10
 MAX_STATUS_BODY_BYTES = 16 << 10
+MAX_STATUS_UNREAD_BYTES = 8 << 10
+# Some three requests, since the metrics are costly to write.
+MAX_STATUS_LINES_PER_TURN = 100
 STATUS_IDLE_SECONDS = 10.0
 STATUS_BODY_SECONDS = 2.0
 
@@ -44,21 +51,31 @@
         super().on_close(server_conn)
 
 
-class CallerServer(FrontendServer):
-    """Server for callers, who may have to give way to each other.
+class PacedServer(HTTPServer):
+    """Server that accepts connections as far as there is room.
 
     Connections that have to wait stay with the kernel, in the order in which they came.
     """
 
-    def initialize(self, frontend: CallerFrontend, **parameters: Any) -> None:
-        """Serve with a frontend, which knows how many connections it may have."""
-        super().initialize(frontend, **parameters)
+    def initialize(self, *arguments: Any, **parameters: Any) -> None:
+        """Serve as the base class does."""
+        super().initialize(*arguments, **parameters)
         self.listeners: list[socket.socket] = []
         self.resume_timers: dict[socket.socket, asyncio.TimerHandle] = {}
 
+    def must_wait(self) -> bool:
+        """Whether a new connection has to wait."""
+        return False
+
+    def stream_owner(self) -> StreamOwner:
+        """Owner of the streams of new connections; to be overridden."""
+        raise NotImplementedError
+
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections on listening sockets."""
         for listener in sockets:
+            # Connections have this size from the listener while they wait to be accepted.
+            limit_unread_bytes(listener, self.stream_owner().max_unread_bytes)
             self.listeners.append(listener)
             self.resume(listener)
 
@@ -76,7 +93,7 @@
     def accept(self, listener: socket.socket) -> None:
         """Accept the connections that wait, as far as there is room."""
         for _ in range(MAX_ACCEPTED_PER_TURN):
-            if self.frontend.must_wait():
+            if self.must_wait():
                 self.pause(listener)
                 return
             try:
@@ -90,14 +107,7 @@
                 self.pause(listener)
                 return
             raw.setblocking(False)
-            self.handle_stream(CallerStream(raw, self.frontend), address)
-
-    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
-        """Serve a new connection, if there is room for it."""
-        if self.frontend.open_connection(stream):
-            super().handle_stream(stream, address)
-        else:
-            stream.close()
+            self.handle_stream(CallerStream(raw, self.stream_owner()), address)
 
     def stop(self) -> None:
         """Stop listening; open connections are kept."""
@@ -112,7 +122,42 @@
         super().stop()
 
 
-class StatusServer(HTTPServer):
+class CallerServer(PacedServer, FrontendServer):
+    """Server for callers, who may have to give way to each other."""
+
+    def must_wait(self) -> bool:
+        """Whether a new connection has to wait until another may give way to it."""
+        return self.frontend.must_wait()
+
+    def stream_owner(self) -> StreamOwner:
+        """Return the frontend, whose limits hold for the streams."""
+        return self.frontend
+
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        """Serve a new connection, if there is room for it."""
+        if self.frontend.open_connection(stream):
+            super().handle_stream(stream, address)
+        else:
+            stream.close()
+
+
+class StatusStreams(StreamOwner):
+    """Limits of connections on which short requests come."""
+
+    max_head_bytes = MAX_STATUS_HEADER_BYTES
+    max_unread_bytes = MAX_STATUS_UNREAD_BYTES
+
+    def __init__(self) -> None:
+        self.turns = Turns(MAX_STATUS_LINES_PER_TURN)
+
+    def record_waiting(self, stream: CallerStream, cost: RequestCost) -> None:
+        """Do nothing: the oldest connection gives way, whatever it waits for."""
+
+    def record_head_too_large(self) -> None:
+        """Do nothing: only callers' requests are counted."""
+
+
+class StatusServer(PacedServer):
     """Server for short requests without bodies; the oldest connection gives way to a new one."""
 
     def initialize(self, request_callback: Any) -> None:
@@ -124,17 +169,28 @@
             idle_connection_timeout=STATUS_IDLE_SECONDS,
             body_timeout=STATUS_BODY_SECONDS,
         )
-        self.streams: OrderedDict[IOStream, None] = OrderedDict()
+        self.opened_at: OrderedDict[IOStream, float] = OrderedDict()
+        self.owner = StatusStreams()
+
+    def must_wait(self) -> bool:
+        """Whether a new connection has to wait, so that the oldest one has its chance."""
+        if len(self.opened_at) < MAX_STATUS_CONNECTIONS:
+            return False
+        return next(iter(self.opened_at.values())) > now() - MIN_STUCK_SECONDS
+
+    def stream_owner(self) -> StreamOwner:
+        """Return the limits that hold for the streams."""
+        return self.owner
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a new connection in place of the oldest one, if there are too many."""
-        while len(self.streams) >= MAX_STATUS_CONNECTIONS:
-            oldest, _ = self.streams.popitem(last=False)
+        while len(self.opened_at) >= MAX_STATUS_CONNECTIONS:
+            oldest, _ = self.opened_at.popitem(last=False)
             oldest.close()
-        self.streams[stream] = None
+        self.opened_at[stream] = now()
         super().handle_stream(stream, address)
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Forget the connection."""
-        self.streams.pop(server_conn.stream, None)
+        self.opened_at.pop(server_conn.stream, None)
         super().on_close(server_conn)
--- a/libs/forward/src/mimosahoist/forward/callers/stream.py
+++ b/libs/forward/src/mimosahoist/forward/callers/stream.py
@@ -60,8 +60,7 @@
 
     def __init__(self, raw: socket.socket, owner: StreamOwner) -> None:
         super().__init__(raw, read_chunk_size=READ_CHUNK_BYTES)
-        if owner.max_unread_bytes:
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, owner.max_unread_bytes)
+        limit_unread_bytes(raw, owner.max_unread_bytes)
         self.owner = owner
         self.account = Account()
         self.is_reading_head = False
@@ -123,3 +122,9 @@
         poller = select.poll()
         poller.register(self.fileno(), select.POLLRDHUP)
         return any(events & PEER_CLOSED_EVENTS for _, events in poller.poll(0))
+
+
+def limit_unread_bytes(raw: socket.socket, size: int) -> None:
+    """Limit the bytes that the kernel keeps until they are read; 0 leaves it to the kernel."""
+    if size:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -49,6 +49,10 @@
 MAX_BODY_BYTES = 1 << 30
 # Fields that a relayed request has beside those of its caller.
 RELAYED_FIELDS_BYTES = 16 << 10
+DEFAULT_BACKLOG = 128
+# Checks of the load balancer that wait behind a crowd. Beyond so many connections the kernel drops
+# the first packets of new ones, which are sent again after seconds only.
+STATUS_BACKLOG = 1024
 DRAIN_NOTICE_SECONDS = 2.5
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
@@ -167,7 +171,7 @@
             self.servers.append(relay_server)
         for address in (self.settings.readiness_address, self.settings.metrics_address):
             server = StatusServer(status_service)
-            listen_on(server, address)
+            listen_on(server, address, STATUS_BACKLOG)
             self.servers.append(server)
         self.tasks.keep_running(self.watch_callers, "watch callers")
         self.tasks.keep_running(self.monitor_reachability, "monitor reachability")
@@ -326,7 +330,7 @@
             await server.close_all_connections()
 
 
-def listen_on(server: HTTPServer, address: str) -> None:
+def listen_on(server: HTTPServer, address: str, backlog: int = DEFAULT_BACKLOG) -> None:
     """Listen on an address ``host:port``."""
     host, _, port = address.rpartition(":")
-    server.listen(int(port), address=host)
+    server.listen(int(port), address=host, backlog=backlog)
