Large bodies behind one that is rejected enter if there is room

What callers saw: a request with a body of over 32 KB was rejected after 0.25 s although there was room for it. Cause: one before it that was too large for the room gave up, and nobody looked at those behind it until another request had ended. Evidence: test_those_behind_one_that_is_rejected_enter_if_there_is_room failed before (false is not true), passes now. Why it works: whoever gives up lets in those that wait, in order, as far as there is room.

--- a/libs/forward/src/mimosahoist/forward/callers/bulk.py
+++ b/libs/forward/src/mimosahoist/forward/callers/bulk.py
@@ -65,12 +65,17 @@
         """Forget a request that no longer waits, which may have been let in just before."""
         if waiting in self.waiting:
             self.waiting.remove(waiting)
+            self.admit_waiting()
         elif waiting.entered.done() and not waiting.entered.cancelled():
             self.leave(waiting.size)
 
     def leave(self, size: int) -> None:
         """Leave, and let those in that wait."""
         self.bytes_in_transfer -= size
+        self.admit_waiting()
+
+    def admit_waiting(self) -> None:
+        """Let in those that wait, in order, as far as there is room."""
         while self.waiting and self.has_room(self.waiting[0].size):
             waiting = self.waiting.popleft()
             if not waiting.entered.done():
--- a/libs/forward/tests/test_bulk.py
+++ b/libs/forward/tests/test_bulk.py
@@ -46,6 +46,16 @@
         self.assertEqual(self.lane.bytes_in_transfer, 0)
         self.assertTrue(await self.serve(900, 0.0))
 
+    async def test_those_behind_one_that_is_rejected_enter_if_there_is_room(self) -> None:
+        first = asyncio.create_task(self.serve(500, 10.0))
+        await asyncio.sleep(0)
+        too_large = asyncio.create_task(self.serve(900, 0.1))
+        await asyncio.sleep(MAX_WAIT_SECONDS / 2)
+        behind = asyncio.create_task(self.serve(300, 0.1))
+        self.assertFalse(await too_large)
+        self.assertTrue(await behind)
+        await first
+
     async def test_bytes_are_counted_right_in_any_order(self) -> None:
         rng = random.Random(11)
         tasks: list[asyncio.Task[bool]] = []
