--- a/libs/forward/src/mimosahoist/forward/callers/intake.py
+++ b/libs/forward/src/mimosahoist/forward/callers/intake.py
@@ -37,7 +37,7 @@
 MIN_RECEIVING_BYTES = 9 << 20
 # A header field as objects, whatever its length.
 FIELD_BYTES = 250
-# A request that takes more processor time than some ten ordinary ones.
+# No ordinary request has so many header lines.
 HEAVY_REQUEST_LINES = 400
 # Beyond this share of the memory, callers may hold no more than they do.
 RESIDENT_MEMORY_SHARE = 0.75
--- a/libs/forward/src/mimosahoist/forward/callers/servers.py
+++ b/libs/forward/src/mimosahoist/forward/callers/servers.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import socket
-from collections import OrderedDict
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any
 
 from tornado.httpserver import HTTPServer
 
 from mimosahoist.core import json_log
 from mimosahoist.core.tasks import now
-from mimosahoist.forward.callers.intake import MIN_STUCK_SECONDS
+from mimosahoist.forward.callers.status_connections import StatusConnections
 from mimosahoist.forward.callers.stream import CallerStream, StreamOwner, limit_unread_bytes
 from mimosahoist.forward.callers.turns import Turns
 
@@ -21,17 +21,17 @@
     from tornado.http1connection import HTTP1ServerConnection
     from tornado.iostream import IOStream
 
+    from mimosahoist.core.metrics import Metrics
     from mimosahoist.forward.callers.turns import RequestCost
     from mimosahoist.forward.front import CallerFrontend
 
 # Connections accepted before other work has its turn.
 MAX_ACCEPTED_PER_TURN = 32
 ACCEPT_PAUSE_SECONDS = 0.02
-MAX_STATUS_CONNECTIONS = 32
 MAX_STATUS_HEADER_BYTES = 16 << 10
 MAX_STATUS_BODY_BYTES = 16 << 10
 MAX_STATUS_UNREAD_BYTES = 8 << 10
-# Some three requests, since the metrics are costly to write.
+# Fewer than of callers: a page of metrics is a long answer to a short request.
 MAX_STATUS_LINES_PER_TURN = 100
 STATUS_IDLE_SECONDS = 10.0
 STATUS_BODY_SECONDS = 2.0
@@ -51,7 +51,7 @@
         super().on_close(server_conn)
 
 
-class PacedServer(HTTPServer):
+class PacedServer(HTTPServer, ABC):
     """Server that accepts connections as far as there is room.
 
     Connections that have to wait stay with the kernel, in the order in which they came.
@@ -63,13 +63,13 @@
         self.listeners: list[socket.socket] = []
         self.resume_timers: dict[socket.socket, asyncio.TimerHandle] = {}
 
+    @abstractmethod
     def must_wait(self) -> bool:
         """Whether a new connection has to wait."""
-        return False
 
+    @abstractmethod
     def stream_owner(self) -> StreamOwner:
-        """Owner of the streams of new connections; to be overridden."""
-        raise NotImplementedError
+        """Return the owner of new connections' streams."""
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections on listening sockets."""
@@ -160,7 +160,7 @@
 class StatusServer(PacedServer):
     """Server for short requests without bodies; the oldest connection gives way to a new one."""
 
-    def initialize(self, request_callback: Any) -> None:
+    def initialize(self, request_callback: Any, metrics: Metrics) -> None:
         """Serve with a callback for whole requests."""
         super().initialize(
             request_callback,
@@ -169,28 +169,27 @@
             idle_connection_timeout=STATUS_IDLE_SECONDS,
             body_timeout=STATUS_BODY_SECONDS,
         )
-        self.opened_at: OrderedDict[IOStream, float] = OrderedDict()
+        self.metrics = metrics
+        self.connections: StatusConnections[IOStream] = StatusConnections()
         self.owner = StatusStreams()
 
     def must_wait(self) -> bool:
-        """Whether a new connection has to wait, so that the oldest one has its chance."""
-        if len(self.opened_at) < MAX_STATUS_CONNECTIONS:
-            return False
-        return next(iter(self.opened_at.values())) > now() - MIN_STUCK_SECONDS
+        """Whether a new connection has to wait, so that the oldest one has its moment."""
+        return self.connections.must_wait(now())
 
     def stream_owner(self) -> StreamOwner:
         """Return the limits that hold for the streams."""
         return self.owner
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
-        """Serve a new connection in place of the oldest one, if there are too many."""
-        while len(self.opened_at) >= MAX_STATUS_CONNECTIONS:
-            oldest, _ = self.opened_at.popitem(last=False)
+        """Serve a new connection, in place of the oldest one if there are too many."""
+        oldest = self.connections.open(stream, now())
+        if oldest is not None:
+            self.metrics.count("status_connections_gave_way")
             oldest.close()
-        self.opened_at[stream] = now()
         super().handle_stream(stream, address)
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Forget the connection."""
-        self.opened_at.pop(server_conn.stream, None)
+        self.connections.close(server_conn.stream)
         super().on_close(server_conn)
--- a/libs/forward/src/mimosahoist/forward/instance.py
+++ b/libs/forward/src/mimosahoist/forward/instance.py
@@ -170,7 +170,7 @@
             self.relay_server = relay_server
             self.servers.append(relay_server)
         for address in (self.settings.readiness_address, self.settings.metrics_address):
-            server = StatusServer(status_service)
+            server = StatusServer(status_service, metrics=self.metrics)
             listen_on(server, address, STATUS_BACKLOG)
             self.servers.append(server)
         self.tasks.keep_running(self.watch_callers, "watch callers")
